--- a/hillfield/detection/board.py
+++ b/hillfield/detection/board.py
@@ -5,7 +5,12 @@
 from hillfield.detection.explaining import explain_targets, report_held
 from hillfield.detection.explanations import TargetExplanation
 from hillfield.detection.health import Health
-from hillfield.detection.lateness import count_head, count_overdue, is_counted
+from hillfield.detection.lateness import (
+    count_given_up,
+    count_head,
+    count_overdue,
+    is_counted,
+)
 from hillfield.detection.records import find_standing
 from hillfield.detection.reports import Statement
 from hillfield.detection.rotation import Rotation, build_rotation
@@ -93,6 +98,7 @@
         record.trials.discard(attempt)
         if isinstance(observation, TimedOut) and started is not None:
             if is_counted(self._service, started):
+                count_given_up(self._service, record, started, now)
                 return
         count_end(observation, self._service, record, now)
 
--- a/hillfield/detection/lateness.py
+++ b/hillfield/detection/lateness.py
@@ -65,8 +65,25 @@
         judge(service, record, now)
 
 
+def count_given_up(
+    service: Service,
+    record: TargetRecord,
+    attempt: Attempt,
+    now: float,
+) -> None:
+    """Count an attempt that ended without an answer as hung.
+
+    Where peers are slow the limit of that may lie beyond the deadline.
+    """
+    if attempt.overdue >= len(LATENESS) or is_excused(record, attempt):
+        return
+    add_failure(service, record, Indicator.HUNG, now)
+    record.tallies[Indicator.HUNG].unanswered += 1
+    judge(service, record, now)
+
+
 def is_counted(service: Service, attempt: Attempt) -> bool:
-    """Return whether a time-out adds nothing to an attempt's lateness."""
+    """Return whether a time-out is counted by the attempt's lateness."""
     return attempt.overdue >= PLAINLY_LATE and judges_lateness(service)
 
 
--- a/hillfield/detection/verdicts.py
+++ b/hillfield/detection/verdicts.py
@@ -7,7 +7,12 @@
 from hillfield.detection.indicators import Indicator
 from hillfield.detection.pools import Pool, pool_all, pool_own
 from hillfield.detection.records import TargetRecord, rank_sickness
-from hillfield.detection.service import SLOWNESS, Service, refresh_weights
+from hillfield.detection.service import (
+    PLAIN_WEIGHTS,
+    SLOWNESS,
+    Service,
+    refresh_weights,
+)
 from hillfield.detection.transitions import follow, take_out
 from hillfield.detection.wording import describe
 
@@ -53,12 +58,27 @@
 
 def clear(service: Service, record: TargetRecord, now: float) -> None:
     """Drop a suspicion that has come to nothing."""
+    if _is_blamed(service, record):
+        return
     pool = _find_worst(service, record, now)
     if pool.margin < (CLEARED_PART - 1) * service.threshold:
         follow(service, record, HealthTrigger.CLEAR, now)
         record.symptom = Symptom.NONE
 
 
+def _is_blamed(service: Service, record: TargetRecord) -> bool:
+    """Tell whether the target's own requests still speak against it.
+
+    By the plain weights: that the peers are late at the moment does not
+    make its own answers good.
+    """
+    bound = SUSPICION_PART * service.threshold
+    return any(
+        PLAIN_WEIGHTS[indicator].score(tally.requests, tally.failures) >= bound
+        for indicator, tally in zip(Indicator, record.tallies, strict=True)
+    )
+
+
 def _convict(
     service: Service,
     record: TargetRecord,
