Expect a sign of life of gates, wait for the first target, log to standard output

- A request handed to a node that is frozen or cut off hung to its deadline.
Gates show within 0.1 s that they have a request (an interim answer); a way without a sign in 0.4 s is left alone, its pooled connections are dropped, and what may run again goes elsewhere.
Work that runs once waits on.
- Log lines go to standard output, as the users ask.

--- a/hillfield/events/logs.py
+++ b/hillfield/events/logs.py
@@ -11,7 +11,7 @@
 from hillfield.events.streams import LineStream
 from hillfield.settings import LogFormat, NodeSettings
 
-STANDARD_ERROR: Final = 2
+STANDARD_OUTPUT: Final = 1
 OPTIONAL_FIELDS: Final = (
     'service',
     'target',
@@ -73,8 +73,8 @@
 
 
 def make_logger(settings: NodeSettings) -> Logger:
-    """Make the logger of a process; it writes to standard error."""
-    return StructuredLogger(settings, LineStream(STANDARD_ERROR))
+    """Make the logger of a process; it writes to standard output."""
+    return StructuredLogger(settings, LineStream(STANDARD_OUTPUT))
 
 
 def choose_renderer(settings: NodeSettings) -> Any:
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -8,12 +8,13 @@
 from hillfield.events import EventCode, Journal
 from hillfield.gate.admission import admit, serve_queue
 from hillfield.gate.completion import count_hung, finish
+from hillfield.gate.notes import GateNotes
 from hillfield.gate.seat import Seat
 from hillfield.gate.standing import Standing
 from hillfield.gate.state import GateState
 from hillfield.model import TargetState
 from hillfield.routing.loads import Latency
-from hillfield.routing.phases import AttemptTrigger, RequestTrigger
+from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.requests import (
     Arrival,
     Done,
@@ -23,13 +24,13 @@
 )
 
 
-class Gate:
+class Gate(GateNotes):
     """Implement `Dispatching` and `Dispatchers` for the one target here."""
 
     def __init__(self, journal: Journal) -> None:
         """Start without a target; `closing` refuses all that is new."""
+        super().__init__(GateState(journal))
         self.closing = False
-        self._state = GateState(journal)
 
     @property
     def seat(self) -> Seat | None:
@@ -64,18 +65,6 @@
         """Send a request, let it wait, or refuse it: then it has not run."""
         return admit(self._state, now, arrival)
 
-    def note_written(self, now: float, attempt: int) -> None:
-        """Note that the attempt's first byte is about to be written."""
-        found = self._state.ledger.find(attempt)
-        if found is not None:
-            found.follow(AttemptTrigger.WRITE)
-
-    def note_head(self, now: float, attempt: int) -> None:
-        """Note that the head of the attempt's answer has come."""
-        found = self._state.ledger.find(attempt)
-        if found is not None:
-            found.follow(AttemptTrigger.HEAD)
-
     def finish(
         self,
         now: float,
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -124,3 +124,8 @@
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
         return headers.get(REQUEST_ID, request) == request
+
+    @property
+    def sends_signs(self) -> bool:
+        """Tell that gates send interim answers of their own."""
+        return True
--- a/hillfield/gate/tests/test_gate.py
+++ b/hillfield/gate/tests/test_gate.py
@@ -161,7 +161,8 @@
 def test_each_success_lets_one_more_trial_run_at_once(gate):
     run(gate, 'a', Broken('reset'))
     run(gate, 'b', Answered(200), 0.3, trial=True)
-    both = [gate.admit(0.4, arrive(name, 0.4, trial=True)) for name in 'cd']
+    trials = [arrive(name, 0.4, trial=True) for name in 'cd']
+    both = [gate.admit(0.4, trial) for trial in trials]
     assert all(isinstance(verdict, Send) for verdict in both)
 
 
--- a/hillfield/hostroutes/allowances.py
+++ b/hillfield/hostroutes/allowances.py
@@ -13,6 +13,10 @@
 # Requests that may wait at one node: 2 s of work of a site's busiest node.
 QUEUE_LIMIT: Final = 64
 
+# Seconds that requests wait at a node which has just started and has not
+# heard of any target yet: links and a heartbeat take about so long.
+PATIENCE: Final = 1.0
+
 
 def make_policy(retry_ratio: float, floor: float) -> ServicePolicy:
     """Return how a node treats all services.
@@ -29,4 +33,5 @@
         retry_burst=BURST,
         shed_burst=BURST,
         shed_cost=1,
+        patience=PATIENCE,
     )
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -54,7 +54,8 @@
     `queue_limit` how many requests may wait at one node, `slow_start`
     the seconds over which a cold target gets up to its full share,
     `retry_burst` and `shed_burst` how many retries of each kind one node may
-    have saved up, `shed_cost` what a retry after the shed answer costs.
+    have saved up, `shed_cost` what a retry after the shed answer costs,
+    `patience` the seconds that requests wait for a first target.
     """
 
     service: str
@@ -70,3 +71,4 @@
     retry_burst: float = 5
     shed_burst: float = 10
     shed_cost: float = 0.1
+    patience: float = 0
--- a/hillfield/node/daemon.py
+++ b/hillfield/node/daemon.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import signal
-import sys
 from collections.abc import Callable
 
 import uvloop
-from expression import Result
 
 from hillfield.node.node import Node, NodeError
 from hillfield.routing import DispatcherTable
@@ -43,12 +41,9 @@
         loop.add_signal_handler(number, ended.set)
     # Settings hold for the life of a process: a hangup must not end it.
     loop.add_signal_handler(signal.SIGHUP, _ignore_signal)
-    match await node.start():
-        case Result(tag='error', error=failed):
-            return failed
-        case Result(ok=callers):
-            sys.stdout.write(f'{callers}\n')
-            sys.stdout.flush()
+    started = await node.start()
+    if started.is_error():
+        return started.error
     await ended.wait()
     await node.stop()
     return None
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -42,6 +42,10 @@
 LONGEST_WAIT: Final = 2.0
 TRIAL: Final = 3.0
 STORE_RETRIES: Final = RetrySettings(FIRST_WAIT, LONGEST_WAIT, TRIAL)
+# Seconds after which a gate that has not answered shows that it has the
+# request, and within which the node that sent it expects to see that.
+SIGN_AFTER: Final = 0.1
+SIGN_WITHIN: Final = 0.4
 # Seconds that a connection between nodes is kept while idle.
 HOP_IDLE_SECONDS: Final = 30.0
 # Seconds between the last answer and the end of the process.
@@ -111,6 +115,7 @@
             self._boot.settings.listen.callers,
             pool_idle_timeout=HOP_IDLE_SECONDS,
             gate_port=self._boot.hops.port,
+            sign_within=SIGN_WITHIN,
             callers=CALLERS,
             targets=HopDialect(),
         )
@@ -119,6 +124,7 @@
         return self._make_proxy_settings(
             self._boot.hops,
             idle_timeout=2 * HOP_IDLE_SECONDS,
+            sign_after=SIGN_AFTER,
             callers=HOPS,
             targets=TargetHeaders(self.find_seat),
         )
--- a/hillfield/platform/headers.py
+++ b/hillfield/platform/headers.py
@@ -82,3 +82,8 @@
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
         return headers.get(REQUEST_ID, request) == request
+
+    @property
+    def sends_signs(self) -> bool:
+        """Tell that interim answers come of the target itself."""
+        return False
--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from types import MappingProxyType
+from typing import Any
 
 from msgspec.json import encode
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
@@ -72,7 +73,7 @@
 
     name: str
     ip: str
-    ports: tuple
+    ports: tuple[int, ...]
     path: Path
     target: StandInTarget
     node: GatedNode | None = None
@@ -81,6 +82,10 @@
     def callers(self):
         return Address(self.ip, self.ports[0])
 
+    @property
+    def hops(self):
+        return Address(self.ip, self.ports[0] - 2)
+
     @property
     def ready(self):
         return Address(self.ip, self.ports[1])
@@ -96,11 +101,11 @@
     def __init__(self, folder):
         self.folder = folder
         self.store_address = find_free(make_ip(0))
-        self.store = None
-        self.hosts = []
+        self.store: Any = None
+        self.hosts: list[Any] = []
         self.client = AsyncHTTPClient()
-        self._server = None
-        self._beating = []
+        self._server: Any = None
+        self._beating: list[Any] = []
         base = find_free(make_ip(1)).port
         self._base = min(base, 60000)
 
@@ -151,11 +156,8 @@
 
     async def is_followed(self):
         """Tell whether nodes of both zones have followed the store a while."""
-        holders = [
-            host.node.fleet.state.core.own.record.relay_of
-            for host in self.hosts
-            if host.node
-        ]
+        cores = [host.node.page.core for host in self.hosts if host.node]
+        holders = [core.own.record.relay_of for core in cores]
         zones = {holder.partition('/')[0] for holder in holders if holder}
         await asyncio.sleep(0.5)
         return zones == {'a', 'b'}
@@ -186,7 +188,7 @@
 
     async def send_in_turn(self, host, path, count, **more):
         """Send requests, each after the answer to the one before."""
-        answers = []
+        answers: list[Any] = []
         while len(answers) < count:
             name = f'r{len(answers)}'
             answers.append(await self.send(host, path, name, **more))
--- a/hillfield/platform/tests/standin_store.py
+++ b/hillfield/platform/tests/standin_store.py
@@ -4,11 +4,14 @@
 import base64
 from dataclasses import dataclass, field
 from itertools import count
+from typing import Any
 
 from msgspec.json import decode, encode
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from hillfield.platform.tests.standin_target import find_stream
+
 MILLISECONDS = 1000
 
 
@@ -22,11 +25,11 @@
     """
 
     revision: int = 0
-    stored: dict = field(default_factory=dict)
-    history: list = field(default_factory=list)
-    calls: list = field(default_factory=list)
-    leases: count = field(default_factory=lambda: count(77))
-    alive: set = field(default_factory=set)
+    stored: dict[str, Any] = field(default_factory=dict)
+    history: list[Any] = field(default_factory=list)
+    calls: list[str] = field(default_factory=list)
+    leases: Any = field(default_factory=lambda: count(77))
+    alive: set[int] = field(default_factory=set)
     forgotten: int = 0
     down: bool = False
     lossy: bool = False
@@ -110,7 +113,7 @@
 
     def _answer(self, message, status=200):
         if self.state.lossy and self.request.method != 'GET':
-            self.request.connection.stream.close()
+            find_stream(self.request).close()
             return
         self.set_status(status)
         self.set_header('Content-Type', 'application/json')
--- a/hillfield/platform/tests/standin_target.py
+++ b/hillfield/platform/tests/standin_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import Any
 
 from msgspec.json import encode
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
@@ -124,7 +125,7 @@
             ),
         )
         await asyncio.sleep(3600 if target.mood == 'hang' else target.seconds)
-        stream = self.request.connection.stream
+        stream = find_stream(self.request)
         if target.mood == 'reset':
             stream.close()
             return
@@ -151,3 +152,8 @@
             self.set_header('X-Server-Signature', signature)
         self.set_header('X-Request-Id', headers['X-Request-Id'])
         self.finish(f'{target.name} ran {headers["X-Request-Id"]}')
+
+
+def find_stream(request: Any) -> Any:
+    """Return the stream of a request's connection."""
+    return request.connection.stream
--- a/hillfield/platform/tests/test_nodes.py
+++ b/hillfield/platform/tests/test_nodes.py
@@ -253,6 +253,35 @@
     play(story)
 
 
+def test_a_node_that_takes_requests_and_stands_still_is_left_alone(play):
+    """Requests hung at a frozen host's node until their deadlines."""
+
+    async def story(site):
+        frozen = site.hosts[0]
+        node = frozen.node
+        frozen.node = None
+        await node.abandon()
+        deaf = await asyncio.start_server(
+            lambda reader, writer: None,
+            frozen.ip,
+            frozen.hops.port,
+        )
+        caller = site.hosts[2]
+        answers = await site.send_in_turn(
+            caller,
+            '/reads/',
+            8,
+            method='GET',
+            deadline=5000,
+        )
+        assert all(answer.code == 200 for answer in answers)
+        took = [answer.request_time for answer in answers]
+        assert sum(seconds > 1 for seconds in took) == 0
+        deaf.close()
+
+    play(story)
+
+
 def test_callers_are_served_while_the_store_is_away(play):
     async def story(site):
         site.store.down = True
--- a/hillfield/proxy/attempts.py
+++ b/hillfield/proxy/attempts.py
@@ -3,7 +3,6 @@
 from asyncio import get_running_loop
 from collections.abc import Awaitable
 from contextlib import suppress
-from dataclasses import dataclass
 from functools import partial
 from time import monotonic
 from typing import Protocol
@@ -18,17 +17,16 @@
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.incoming import IncomingAnswer
 from hillfield.proxy.orders import Order
-from hillfield.proxy.pool import Pool
 from hillfield.proxy.replies import Reply
 from hillfield.proxy.sending import Sender
-from hillfield.proxy.settings import ProxySettings
+from hillfield.proxy.signs import expect_sign
 from hillfield.proxy.streams import PromptStream
+from hillfield.proxy.tools import AttemptTools
 from hillfield.proxy.targetlinks import (
     AnswerReading,
     open_connection,
     read_answer,
 )
-from hillfield.routing.ports import Dispatching
 from hillfield.routing.requests import (
     ConnectFailed,
     NothingWritten,
@@ -50,15 +48,6 @@
         """Note an error that nobody expected."""
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptTools:
-    """Hold what every attempt of a request works with."""
-
-    pool: Pool
-    settings: ProxySettings
-    dispatching: Dispatching
-
-
 class Attempt(AnswerReading):
     """Send a request and take in its answer.
 
@@ -88,7 +77,7 @@
         self.ended = False
         self._order = order
         self._tools = tools
-        self._owner = owner
+        self.owner = owner
         self._stream: PromptStream | None = None
         self._sender: Sender | None = None
 
@@ -104,7 +93,7 @@
             await self._run()
         except Exception as error:
             self.cut()
-            self._owner.note_stray(error)
+            self.owner.note_stray(error)
 
     def cut(self) -> None:
         """End the attempt now; the target sees the connection close."""
@@ -135,7 +124,7 @@
         self.answer.held += chunk
         if len(self.answer.held) <= self._tools.settings.held_answer:
             return None
-        return self._owner.note_overflow(self)
+        return self.owner.note_overflow(self)
 
     def finish(self) -> None:
         """Take in the end of the answer."""
@@ -143,9 +132,24 @@
             return
         if self._stream is not None and self._stream.error is not None:
             detail = str(self._stream.error)
-            self._end(self.answer.judge_broken(detail))
+            self.end(self.answer.judge_broken(detail))
         else:
-            self._end(self.answer.judge_whole())
+            self.end(self.answer.judge_whole())
+
+    def end(self, observation: Observation) -> None:
+        """Note the end, once; the owner is told."""
+        if self.ended:
+            return
+        self.ended = True
+        sender = self._sender
+        if self._stream is not None and sender and not sender.sent:
+            # The request is not all written: what follows on this
+            # connection could not be told from the rest of it.
+            self._stream.close()
+        try:
+            self.owner.note_ended(self, observation)
+        except Exception as error:
+            self.owner.note_stray(error)
 
     async def _run(self) -> None:
         if self._stream is None and not self.ended:
@@ -157,8 +161,8 @@
         try:
             await read_answer(self, sender.connection, stream)
         except (StreamClosedError, UnsatisfiableReadError) as error:
-            self._end(self.answer.judge_broken(str(error)))
-        self._end(self.answer.judge_broken('answer is malformed'))
+            self.end(self.answer.judge_broken(str(error)))
+        self.end(self.answer.judge_broken('answer is malformed'))
         sender.stop()
         if sender.sent and self.answer.allows_reuse():
             self._tools.pool.release(self.send.target, stream)
@@ -168,7 +172,7 @@
     async def _connect(self) -> None:
         connected = await self._tools.pool.connect(self.send.address)
         if connected.is_error():
-            self._end(ConnectFailed(connected.error))
+            self.end(ConnectFailed(connected.error))
         elif self.ended:
             self._tools.pool.release(self.send.target, connected.ok)
         else:
@@ -176,7 +180,7 @@
 
     def _send(self, stream: PromptStream) -> None:
         if stream.closed():
-            self._end(NothingWritten('connection ended before use'))
+            self.end(NothingWritten('connection ended before use'))
             return
         self._stream = stream
         connection = open_connection(stream, self._tools.settings)
@@ -192,30 +196,17 @@
         with suppress(StreamClosedError):
             # Who reads the answer learns of it as well.
             self._sender.start()
+        expect_sign(self, self._tools, self._order)
 
     def _hold(self, expired: bool) -> None:
         if self.ended or self.relay is not None:
             return
         if expired and self.answer.is_decidable():
-            self._owner.note_overflow(self)
+            self.owner.note_overflow(self)
             return
         get_running_loop().call_later(
             self._tools.settings.answer_hold,
             run_guarded,
             partial(self._hold, expired=True),
-            self._owner.note_stray,
+            self.owner.note_stray,
         )
-
-    def _end(self, observation: Observation) -> None:
-        if self.ended:
-            return
-        self.ended = True
-        sender = self._sender
-        if self._stream is not None and sender and not sender.sent:
-            # The request is not all written: what follows on this
-            # connection could not be told from the rest of it.
-            self._stream.close()
-        try:
-            self._owner.note_ended(self, observation)
-        except Exception as error:
-            self._owner.note_stray(error)
--- a/hillfield/proxy/dialects.py
+++ b/hillfield/proxy/dialects.py
@@ -55,6 +55,10 @@
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
 
+    @property
+    def sends_signs(self) -> bool:
+        """Tell whether interim answers are signs of life of a node."""
+
 
 class OwnDialect:
     """Speak as hillfield's own targets do."""
@@ -87,6 +91,11 @@
         """Believe the connection: these targets answer in order."""
         return True
 
+    @property
+    def sends_signs(self) -> bool:
+        """Tell that interim answers come of the target itself."""
+        return False
+
 
 def show_milliseconds(seconds: float) -> str:
     """Return whole milliseconds, 0 at the least.
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -66,6 +66,9 @@
         self._started_at = monotonic()
         request = self._order.passage.key
         self._context.takers[request] = self
+        sign_after = self._context.settings.sign_after
+        if sign_after:
+            get_running_loop().call_later(sign_after, self._relay.send_sign)
         self.take(
             self._dispatching.admit(
                 monotonic(),
--- a/hillfield/proxy/incoming.py
+++ b/hillfield/proxy/incoming.py
@@ -17,7 +17,8 @@
     """Hold the head and as much of the body as isn't relayed yet.
 
     `failure` is what an answer means that no target's work has made, `stray`
-    says that it belongs to an earlier request of the connection.
+    says that it belongs to an earlier request of the connection, `alive` that
+    anything at all has come in answer.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         self.headers = HTTPHeaders()
         self.held = bytearray()
         self.interim = False
+        self.alive = False
         self.relaying = False
         self.stray = False
         self.failure: Observation | None = None
@@ -47,11 +49,13 @@
     ) -> bool:
         """Take in a head; return whether it is the final one."""
         if start_line.code < _FIRST_FINAL:
-            self.interim = True
+            self.alive = True
+            self.interim = not self._dialect.sends_signs
             return False
         self.stray = not self._dialect.is_answer_to(self._request, headers)
         if self.stray:
             return False
+        self.alive = True
         self.start_line = start_line
         self.headers = headers
         code = start_line.code
--- a/hillfield/proxy/pool.py
+++ b/hillfield/proxy/pool.py
@@ -51,6 +51,11 @@
         for link in self._idle.pop(target, ()):
             link.stream.close()
 
+    def drop(self, target: TargetId) -> None:
+        """Close a target's idle connections; new ones may be opened."""
+        for link in self._idle.pop(target, ()):
+            link.stream.close()
+
     def sweep(self, now: float) -> None:
         """Close connections idle for too long; `now` is in loop seconds."""
         oldest = now - self._settings.pool_idle_timeout
--- a/hillfield/proxy/relays.py
+++ b/hillfield/proxy/relays.py
@@ -47,6 +47,10 @@
         self._count(Outcome.ANSWERED)
         self._reply.send_whole(attempt.answer, self._order.passage)
 
+    def send_sign(self) -> None:
+        """Show that the request has come, while there is no answer."""
+        self._reply.send_sign()
+
     def fail(self, failure: RequestFailure) -> None:
         """Answer with a failure, or cut an answer that has begun."""
         self._record(failure)
--- a/hillfield/proxy/replies.py
+++ b/hillfield/proxy/replies.py
@@ -19,6 +19,7 @@
 _NO_CONTENT: Final = 204
 _BODILESS: Final = frozenset((_NO_CONTENT, 304))
 _LAST_CHUNK: Final = b'0\r\n\r\n'
+_SIGN: Final = b'HTTP/1.1 102 Processing\r\n\r\n'
 
 
 class Reply:
@@ -94,7 +95,9 @@
         _keep_length(fields, answer)
         part = bytes(answer.held)
         answer.held.clear()
-        self._chunked = self._may_chunk(answer)
+        bodiless = answer.start_line.code in _BODILESS or self.method == 'HEAD'
+        framed = bodiless or answer.has_length()
+        self._chunked = self.chunks and not framed
         self._begin(fields)
         return self.connection.write_headers(
             answer.start_line,
@@ -102,6 +105,11 @@
             part,
         )
 
+    def send_sign(self) -> None:
+        """Write an interim answer, unless the answer has begun."""
+        if not (self.begun or self._stream.closed()):
+            self._stream.write(_SIGN)
+
     def watch(self, callback: Callable[[], None]) -> None:
         """Learn of the caller's end while its request is still read."""
         self._stream.set_close_callback(callback)
@@ -143,10 +151,6 @@
         self._stream.write(head if self.method == 'HEAD' else head + body)
         self.end()
 
-    def _may_chunk(self, answer: IncomingAnswer) -> bool:
-        bodiless = answer.start_line.code in _BODILESS or self.method == 'HEAD'
-        return self.chunks and not bodiless and not answer.has_length()
-
 
 def _keep_length(fields: Fields, answer: IncomingAnswer) -> None:
     length = answer.headers.get(_LENGTH)
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -5,10 +5,11 @@
 
 from hillfield.events import EventCode, Occurrence
 from hillfield.model import RequestFailure
-from hillfield.proxy.attempts import Attempt, AttemptOwner, AttemptTools
+from hillfield.proxy.attempts import Attempt, AttemptOwner
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.orders import Order
+from hillfield.proxy.tools import AttemptTools
 from hillfield.routing.ports import Dispatching
 from hillfield.routing.requests import (
     CallerGone,
--- a/hillfield/proxy/settings.py
+++ b/hillfield/proxy/settings.py
@@ -15,7 +15,9 @@
     again; an answer body up to `held_answer` is held until it is whole.
     `answer_hold` bounds how long an answer of unknown length is held,
     `gate_port` is where the nodes beside the targets take requests for them
-    (None: targets are reached directly).
+    (None: targets are reached directly). Where `sign_after` is set, a request
+    that is not answered by then gets an interim answer as a sign of life;
+    where `sign_within` is set, one is expected of the other end.
     """
 
     address: Address
@@ -38,5 +40,7 @@
     drain_grace: float = 1
     drain_timeout: float = 120
     gate_port: int | None = None
+    sign_after: float = 0
+    sign_within: float = 0
     callers: CallerDialect = CallerDialect()
     targets: TargetDialect = field(default_factory=OwnDialect)
--- /dev/null
+++ b/hillfield/proxy/signs.py
@@ -0,0 +1,71 @@
+"""Signs of life of the node that a request was sent to."""
+
+from asyncio import get_running_loop
+from functools import partial
+from time import monotonic
+from typing import Protocol
+
+from hillfield.proxy.guards import run_guarded
+from hillfield.proxy.incoming import IncomingAnswer
+from hillfield.proxy.orders import Order
+from hillfield.proxy.tools import AttemptTools
+from hillfield.routing.requests import Broken, Observation, Send
+
+
+class StrayNoting(Protocol):
+    """Own a request."""
+
+    def note_stray(self, error: Exception) -> None:
+        """Note an error that nobody expected."""
+
+
+class Attempting(Protocol):
+    """Be an attempt under way."""
+
+    send: Send
+    ended: bool
+    answer: IncomingAnswer
+
+    @property
+    def owner(self) -> StrayNoting:
+        """Return who owns the request."""
+
+    def end(self, observation: Observation) -> None:
+        """Note the end, once; the owner is told."""
+
+    def cut(self) -> None:
+        """End the attempt now; the other end sees the connection close."""
+
+
+def expect_sign(
+    attempt: Attempting,
+    tools: AttemptTools,
+    order: Order,
+) -> None:
+    """Look for a sign of life in time, where the other end sends them."""
+    if tools.settings.sign_within:
+        looking = partial(look_for_sign, attempt, tools, order)
+        get_running_loop().call_later(
+            tools.settings.sign_within,
+            run_guarded,
+            looking,
+            attempt.owner.note_stray,
+        )
+
+
+def look_for_sign(
+    attempt: Attempting,
+    tools: AttemptTools,
+    order: Order,
+) -> None:
+    """Leave a silent way alone; what may run again goes elsewhere at once.
+
+    Other work waits on: it may run there, so it must not run twice.
+    """
+    if attempt.ended or attempt.answer.alive:
+        return
+    tools.pool.drop(attempt.send.target)
+    tools.dispatching.note_silent(monotonic(), attempt.send.attempt)
+    if order.plan.idempotent and not order.body.streamed:
+        attempt.end(Broken('no sign of life'))
+        attempt.cut()
--- a/hillfield/routing/admission.py
+++ b/hillfield/routing/admission.py
@@ -17,6 +17,11 @@
 from hillfield.routing.service import Service
 
 SCAN_INTERVAL: Final = 0.01
+WITHOUT_TARGET: Final = Cause(
+    EventCode.SERVICE_WITHOUT_TARGET,
+    Step.ROUTE,
+    'no target of the service is known here',
+)
 
 
 def admit(service: Service, now: float, arrival: Arrival) -> Verdict:
@@ -36,8 +41,19 @@
 
 def serve_queue(service: Service, now: float) -> tuple[Verdict, ...]:
     """Send what has found a slot; refuse what has waited in vain."""
+    if not len(service.queue):
+        return ()
+    if not service.may_find_target(now):
+        return tuple(
+            refuse(service, record, WITHOUT_TARGET)
+            for record in service.queue.take_all()
+        )
+    return _serve_queue(service, now)
+
+
+def _serve_queue(service: Service, now: float) -> tuple[Verdict, ...]:
     verdicts: list[Verdict] = []
-    if len(service.queue) and now - service.scanned >= SCAN_INTERVAL:
+    if now - service.scanned >= SCAN_INTERVAL:
         service.scanned = now
         verdicts.extend(
             refuse(service, record, describe_expiry())
@@ -62,13 +78,8 @@
 ) -> Cause | None:
     if arrival.expires <= now:
         return describe_expiry()
-    service.selector.adopt(service.board.rotation())
-    if not service.selector.capacity:
-        return Cause(
-            EventCode.SERVICE_WITHOUT_TARGET,
-            Step.ROUTE,
-            'no target of the service is known here',
-        )
+    if not service.may_find_target(now):
+        return WITHOUT_TARGET
     delay = service.limiter.delay(
         now,
         arrival.plan.account,
--- a/hillfield/routing/notes.py
+++ b/hillfield/routing/notes.py
@@ -1,6 +1,7 @@
 """What a dispatcher is told of attempts under way."""
 
 from hillfield.routing.phases import AttemptTrigger
+from hillfield.routing.requests import NothingWritten
 from hillfield.routing.service import Service
 
 
@@ -19,6 +20,13 @@
             found.follow(AttemptTrigger.WRITE)
             self.board.note_started(now, found.target.id, attempt)
 
+    def note_silent(self, now: float, attempt: int) -> None:
+        """Note that the other end gave no sign of life in time."""
+        found = self._service.ledger.find(attempt)
+        if found is not None:
+            lost = NothingWritten('no sign of life')
+            self.board.observe(now, found.target.id, attempt, lost)
+
     def note_head(self, now: float, attempt: int) -> None:
         """Note that the head of the attempt's answer has come."""
         found = self._service.ledger.find(attempt)
--- a/hillfield/routing/ports.py
+++ b/hillfield/routing/ports.py
@@ -17,6 +17,9 @@
     def note_head(self, now: float, attempt: int) -> None:
         """Note that the head of the attempt's answer has come."""
 
+    def note_silent(self, now: float, attempt: int) -> None:
+        """Note that the other end gave no sign of life in time."""
+
     def finish(
         self,
         now: float,
--- a/hillfield/routing/queues.py
+++ b/hillfield/routing/queues.py
@@ -49,6 +49,15 @@
             self._lines.pop(account)
         return record
 
+    def take_all(self) -> tuple[RequestRecord, ...]:
+        """Empty the queue."""
+        records = tuple(
+            record for line in self._lines.values() for record in line
+        )
+        self._lines.clear()
+        self._length = 0
+        return records
+
     def remove(self, record: RequestRecord) -> None:
         """Take a request out, wherever it waits."""
         account = record.arrival.plan.account
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -39,7 +39,8 @@
     """Hold the parts that decide for one service.
 
     `retries` are requests whose next attempt waits for a slot, `pending`
-    refusals that the next poll hands out.
+    refusals that the next poll hands out, `barren_since` is when no target
+    was first found (None: there are some).
     """
 
     policy: ServicePolicy
@@ -54,6 +55,17 @@
     pending: list[Refuse] = field(default_factory=list)
     counters: Counters = field(default_factory=Counters)
     scanned: float = 0
+    barren_since: float | None = None
+
+    def may_find_target(self, now: float) -> bool:
+        """Tell whether targets are known, or may soon be."""
+        self.selector.adopt(self.board.rotation())
+        if self.selector.capacity:
+            self.barren_since = None
+            return True
+        if self.barren_since is None:
+            self.barren_since = now
+        return now - self.barren_since < self.policy.patience
 
     def choose(
         self,
--- a/hillfield/routing/tests/test_declining.py
+++ b/hillfield/routing/tests/test_declining.py
@@ -1,5 +1,6 @@
 """Requests that gates decline go on to other gates."""
 
+from dataclasses import replace
 from random import Random
 
 from hillfield.detection.paths import PathBoard
@@ -20,10 +21,8 @@
 POLICY = ServicePolicy('s', retry_budget=0.1, retry_burst=0, shed_burst=0)
 
 
-def make_dispatcher(count=10):
-    board = PathBoard(POLICY, HERE)
-    dispatcher = Dispatcher(POLICY, HERE, board, Random(1))
-    targets = tuple(
+def make_targets(count):
+    return tuple(
         Target(
             TargetId('s', Address(f'10.0.0.{number}', 80), 1),
             Locality('r', 'a', f'h{number}'),
@@ -32,7 +31,12 @@
         )
         for number in range(count)
     )
-    dispatcher.adopt_targets(0, targets)
+
+
+def make_dispatcher(count=10):
+    board = PathBoard(POLICY, HERE)
+    dispatcher = Dispatcher(POLICY, HERE, board, Random(1))
+    dispatcher.adopt_targets(0, make_targets(count))
     return dispatcher
 
 
@@ -99,7 +103,7 @@
 def test_a_request_that_all_decline_ends_as_not_run():
     dispatcher = make_dispatcher(2)
     verdict = dispatcher.admit(0, arrive('r'))
-    now = 0
+    now = float()
     while not isinstance(verdict, Refuse):
         if isinstance(verdict, Send):
             verdict = decline(dispatcher, verdict, now)
@@ -109,3 +113,22 @@
             verdict = polled[0] if polled else verdict
         assert now < 5
     assert verdict.failure.status == 503
+
+
+def test_requests_wait_a_moment_for_the_first_target():
+    """After a restart 143 requests were refused before any target was heard."""
+    patient = replace(POLICY, patience=1)
+    dispatcher = Dispatcher(patient, HERE, PathBoard(patient, HERE), Random(1))
+    assert isinstance(dispatcher.admit(0, arrive('r')), Wait)
+    assert not dispatcher.poll(0.5)
+    dispatcher.adopt_targets(0.6, make_targets(1))
+    assert [verdict.request for verdict in dispatcher.poll(0.7)] == ['r']
+
+
+def test_requests_wait_no_longer_than_that():
+    patient = replace(POLICY, patience=1)
+    dispatcher = Dispatcher(patient, HERE, PathBoard(patient, HERE), Random(1))
+    dispatcher.admit(0, arrive('r'))
+    refused = dispatcher.poll(1.1)
+    assert [type(verdict) for verdict in refused] == [Refuse]
+    assert isinstance(dispatcher.admit(1.2, arrive('s')), Refuse)
