--- a/hillfield/cli/trace.py
+++ b/hillfield/cli/trace.py
@@ -8,7 +8,7 @@
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import Decoder
-from typer import Argument, echo
+from typer import Argument
 
 from hillfield.cli.exits import ExitCode, leave
 from hillfield.cli.moments import parse_moment
--- a/hillfield/detection/baseline.py
+++ b/hillfield/detection/baseline.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from hillfield.detection.evidence import Evidence, Symptom
+from hillfield.detection.evidence import Symptom
 from hillfield.detection.explanations import TargetExplanation
+from hillfield.detection.quiet import QuietBoard
 from hillfield.detection.rotation import Rotation, Standing, build_rotation
 from hillfield.events import EventCode, Occurrence
 from hillfield.model import (
@@ -42,17 +43,17 @@
     since: float = 0
 
 
-class BaselineBoard:
+class BaselineBoard(QuietBoard):
     """Eject after fixed consecutive errors for a fixed time."""
 
     def __init__(self, policy: ServicePolicy, locality: Locality) -> None:
         """Start without targets."""
+        super().__init__()
         self._policy = policy
         self._locality = locality
         self._records: dict[TargetId, _Record] = {}
         self._rotation: Rotation | None = None
         self._now: float = 0
-        self._occurrences: list[Occurrence] = []
 
     def adopt_policy(self, now: float, policy: ServicePolicy) -> None:
         """Take the policy; nothing of it matters here."""
@@ -68,12 +69,6 @@
             self._records[target.id] = record
         self._rotation = None
 
-    def note_started(self, now: float, target: TargetId, attempt: int) -> None:
-        """Ignore the start."""
-
-    def note_head(self, now: float, target: TargetId, attempt: int) -> None:
-        """Ignore the head."""
-
     def observe(
         self,
         now: float,
@@ -91,7 +86,7 @@
             case ConnectFailed() | Broken() | TimedOut() | Answered():
                 record.errors += 1
         if record.errors >= ERRORS_TO_EJECT:
-            self._occurrences.append(_eject(now, record, 'errors'))
+            self.occurrences.append(_eject(now, record, 'errors'))
             self._rotation = None
             self._now = now
 
@@ -112,7 +107,7 @@
             return
         record.failed_probes += 1
         if record.failed_probes >= PROBES_TO_EJECT:
-            self._occurrences.append(_eject(now, record, 'failed probes'))
+            self.occurrences.append(_eject(now, record, 'failed probes'))
             self._rotation = None
             self._now = now
 
@@ -134,22 +129,7 @@
         """Return ejections since the last tick and end those that are over."""
         self._now = now
         self._rotation = None
-        occurrences = tuple(self._occurrences)
-        self._occurrences.clear()
-        return occurrences
-
-    def evidence(self, now: float) -> tuple[Evidence, ...]:
-        """Return nothing: the baseline tells nobody."""
-        return ()
-
-    def adopt_evidence(
-        self,
-        now: float,
-        node: str,
-        domain: str,
-        evidence: tuple[Evidence, ...],
-    ) -> None:
-        """Ignore what others tell."""
+        return self.take_occurrences()
 
     def explain(self, now: float) -> tuple[TargetExplanation, ...]:
         """Explain the treatment of each target."""
--- a/hillfield/detection/paths.py
+++ b/hillfield/detection/paths.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from hillfield.detection.evidence import Evidence, Symptom
+from hillfield.detection.evidence import Symptom
 from hillfield.detection.explanations import TargetExplanation
+from hillfield.detection.quiet import QuietBoard
 from hillfield.detection.rotation import (
     FULL_SHARE,
     Rotation,
@@ -46,17 +47,17 @@
     failures: int = 0
 
 
-class PathBoard:
+class PathBoard(QuietBoard):
     """Leave ways alone that failed; the last one is never given up."""
 
     def __init__(self, policy: ServicePolicy, locality: Locality) -> None:
         """Start without targets."""
+        super().__init__()
         self._policy = policy
         self._locality = locality
         self._ways: dict[TargetId, _Way] = {}
         self._rotation: Rotation | None = None
         self._now: float = 0
-        self._occurrences: list[Occurrence] = []
 
     def adopt_policy(self, now: float, policy: ServicePolicy) -> None:
         """Take a new policy into force."""
@@ -73,12 +74,6 @@
             self._ways[target.id] = way
         self._rotation = None
 
-    def note_started(self, now: float, target: TargetId, attempt: int) -> None:
-        """Ignore the start."""
-
-    def note_head(self, now: float, target: TargetId, attempt: int) -> None:
-        """Ignore the head: `observe` follows."""
-
     def observe(
         self,
         now: float,
@@ -97,7 +92,7 @@
         seconds = _avoid(way, now)
         self._rotation = None
         if seconds is not None:
-            self._occurrences.append(
+            self.occurrences.append(
                 Occurrence(
                     EventCode.TARGET_AVOIDED,
                     service=target.service,
@@ -130,22 +125,7 @@
         if any(self._now < end <= now for end in ends):
             self._rotation = None
         self._now = now
-        occurrences = tuple(self._occurrences)
-        self._occurrences.clear()
-        return occurrences
-
-    def evidence(self, now: float) -> tuple[Evidence, ...]:
-        """Return nothing: a way says nothing of another node's."""
-        return ()
-
-    def adopt_evidence(
-        self,
-        now: float,
-        node: str,
-        domain: str,
-        evidence: tuple[Evidence, ...],
-    ) -> None:
-        """Ignore it: each gate speaks for its own target."""
+        return self.take_occurrences()
 
     def explain(self, now: float) -> tuple[TargetExplanation, ...]:
         """Explain the treatment of each target."""
--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -186,6 +186,13 @@
         )
         return await self.client.fetch(wanted, raise_error=False)
 
+    async def serves(self, path):
+        """Tell whether every node serves a path."""
+        answers = await asyncio.gather(
+            *(self.send(host, path, f'x-{host.name}') for host in self.hosts),
+        )
+        return all(answer.code == 200 for answer in answers)
+
     async def send_in_turn(self, host, path, count, **more):
         """Send requests, each after the answer to the one before."""
         answers: list[Any] = []
