Let leaving bind where no heartbeat or registry entry stands beside it

Found by reading the change: a node that restarted acknowledged the farewell of a target that it had no heartbeat of, and a heartbeat that came late then seated it; and a heartbeat that says draining closed the gate only where the registry took it.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,8 @@
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --requirement requirements.lock
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	$(BIN)/pip install --quiet --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --quiet --no-deps --no-build-isolation --editable .
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/hillfield/gate/seating.py
+++ b/hillfield/gate/seating.py
@@ -14,7 +14,7 @@
 from hillfield.announcements.messages import Refusal
 from hillfield.gate.gate import Gate
 from hillfield.gate.seat import Seat
-from hillfield.model import Target
+from hillfield.model import Target, TargetState
 
 NAMES_KEPT: Final = 64
 
@@ -24,7 +24,6 @@
     announcement: Announcement
     incarnation: int
     sequence: int
-    withdrawn: bool = False
 
 
 class Seating:
@@ -38,8 +37,9 @@
     def __init__(self, registry: TargetRegistry, gate: Gate) -> None:
         """Start without a target."""
         self._registry = registry
-        self._gate = gate
+        self.gate = gate
         self._named: OrderedDict[str, _Named] = OrderedDict()
+        self._left: OrderedDict[str, None] = OrderedDict()
         self._newest = 0
 
     def announce(
@@ -52,18 +52,23 @@
     ) -> Result[Target, AnnouncementProblem]:
         """Take a heartbeat; `wall` is the wall clock in milliseconds."""
         named = self._named.get(name)
+        if name in self._left:
+            return Error(_describe_unknown(name))
         if named is None:
             named = self._begin(name, wall, announcement)
-        elif sequence <= named.sequence or named.withdrawn:
+        elif sequence <= named.sequence:
             return Error(_describe_late(sequence, named))
         named.sequence = sequence
         named.announcement = replace(
             announcement,
             incarnation=named.incarnation,
         )
+        if announcement.state is TargetState.DRAINING:
+            # Acknowledged it binds, whatever the registry makes of it.
+            self._leave_seat(name)
         told = self._registry.announce(now, wall, named.announcement)
         if told.is_ok():
-            self._gate.take_seat(Seat(told.ok, name))
+            self.gate.take_seat(Seat(told.ok, name))
         return told
 
     def withdraw(
@@ -72,13 +77,13 @@
         name: str,
     ) -> Result[Target, AnnouncementProblem]:
         """Forget a life at once; no later heartbeat brings it back."""
+        self._left[name] = None
+        if len(self._left) > NAMES_KEPT:
+            self._left.popitem(last=False)
+        self._leave_seat(name)
         named = self._named.get(name)
         if named is None:
             return Error(_describe_unknown(name))
-        named.withdrawn = True
-        seat = self._gate.seat
-        if seat is not None and seat.name == name:
-            self._gate.take_seat(None)
         return self._registry.withdraw(
             now,
             named.announcement.service,
@@ -88,12 +93,17 @@
 
     def follow_expiry(self, now: float) -> None:
         """Leave the seat of a target that has long been silent."""
-        seat = self._gate.seat
+        seat = self.gate.seat
         if seat is None:
             return
         listed = {target.id for target in self._registry.targets(now)}
         if seat.target.id not in listed:
-            self._gate.take_seat(None)
+            self.gate.take_seat(None)
+
+    def _leave_seat(self, name: str) -> None:
+        seat = self.gate.seat
+        if seat is not None and seat.name == name:
+            self.gate.take_seat(None)
 
     def _begin(
         self,
@@ -110,12 +120,11 @@
 
 
 def _describe_late(sequence: int, named: _Named) -> AnnouncementProblem:
-    found = f'{sequence} after {named.sequence}'
     return AnnouncementProblem(
         Refusal.STALE,
         'sequence',
-        f'{found}, withdrawn' if named.withdrawn else found,
-        'send a higher number with each heartbeat, none after leaving',
+        f'{sequence} after {named.sequence}',
+        'send a higher number with each heartbeat',
     )
 
 
@@ -124,5 +133,5 @@
         Refusal.UNKNOWN,
         'name',
         name,
-        'nothing is to be done: the target is not listed here',
+        'nothing is to be done: the target is not listed here, or has left',
     )
