--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -33,10 +33,10 @@
 SEEK_AGAIN: Final = 2.0
 SEEK_LIMIT: Final = 30.0
 DOUBLING: Final = 2
-# Seconds between two readings by one follower. Six followers of three
-# failure domains leave gaps of half a second on average; a change is to be in
-# force within two.
-CHECK: Final = 2.5
+# Seconds between two readings by one follower, at the most. Six followers of
+# three failure domains leave gaps of half a second on average; a change that
+# no watch hears is to be in force within two.
+CHECK: Final = 4.0
 # The first calls of a node are repeated soon: nothing is served without.
 FIRST_WAIT: Final = 0.3
 LONGEST_WAIT: Final = 2.0
--- a/hillfield/platform/store.py
+++ b/hillfield/platform/store.py
@@ -31,9 +31,9 @@
     StoreSettings,
 )
 
-# Seconds that a watch waits for an event: one that fell silent with the
-# store is noticed in about this time.
-WATCH_SECONDS: Final = 5.0
+# Seconds that a watch waits for an event: each counts as a call. What one
+# that fell silent misses is found by reading the key anew.
+WATCH_SECONDS: Final = 10.0
 WATCH_SLACK: Final = 1.0
 MILLISECONDS: Final = 1000
 ENDED_OR_KEPT: Final = frozenset((HTTPStatus.OK, HTTPStatus.NOT_FOUND))
