Notice killed neighbours in 0.8 s and read the configuration oneself

A node that has had no sign of a neighbour for 0.8 s reads the key itself; heartbeats come each 0.5 s and neighbours are lost after 1.5 s. Ruled out: the store (stable), the followers (up).

--- a/hillfield/fleet/assembling.py
+++ b/hillfield/fleet/assembling.py
@@ -27,7 +27,7 @@
         settings=settings,
         codec=codec,
         book=book,
-        ledger=EntryLedger(store),
+        ledger=EntryLedger(store, settings.pull_again),
         view=TargetView(book, codec),
         findings=FindingsView(book, codec, settings.evidence_life),
         links=LinkTable(),
--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from hillfield.events import EventCode, Journal, Occurrence
+from hillfield.fleet.backoff import Backoff
 from hillfield.fleet.core import Core
 from hillfield.fleet.feeds import FeedSettings, StoreFeed
 from hillfield.fleet.records import NodeRecord
@@ -32,7 +33,11 @@
 # doubles up to the longest.
 SEEK_AGAIN: Final = 2.0
 SEEK_LIMIT: Final = 30.0
-DOUBLING: Final = 2
+# Seconds without a sign of any neighbour after which a node reads the
+# configuration itself, and between two such readings; heartbeats come each
+# 0.5 s.
+SILENCE: Final = 0.8
+READ_AGAIN: Final = 1.0
 # Seconds between two readings by one follower, at the most. Six followers of
 # three failure domains leave gaps of half a second on average; a change that
 # no watch hears is to be in force within two.
@@ -77,8 +82,7 @@
         self._journal = journal
         self._circuit = Circuit(RETRIES, random)
         self._met = asyncio.Event()
-        self._crossed = time.monotonic()
-        self._pause = SEEK_AGAIN
+        self._crossing = Backoff(SEEK_AGAIN, SEEK_LIMIT)
         self._feed = StoreFeed(
             fleet,
             store,
@@ -103,19 +107,21 @@
         await self._insist(self._introductions.register)
         await self._insist(self._introductions.meet)
         self._met.set()
-        heard = time.monotonic()
-        pause = SEEK_AGAIN
-        # While no peer is heard the store is asked for some, ever less often.
+        await self._keep_in_touch()
+
+    async def _keep_in_touch(self) -> None:
+        """Turn to the store while no neighbour is heard."""
+        seeking = Backoff(SEEK_AGAIN, SEEK_LIMIT)
+        reading = Backoff(READ_AGAIN, SEEK_LIMIT)
         while True:
             await asyncio.sleep(LOOK_AGAIN)
+            core = self._fleet.state.core
             now = time.monotonic()
-            if self._fleet.state.core.heard_links():
-                heard = now
-                pause = SEEK_AGAIN
-            elif now - heard > pause:
-                heard = now
-                pause = min(SEEK_LIMIT, pause * DOUBLING)
+            if seeking.is_due(now, well=bool(core.heard_links())):
                 await self._introductions.meet()
+            if reading.is_due(now, well=not is_cut_off(core, now)):
+                # What neighbours would tell may have changed meanwhile.
+                await self._load()
 
     async def _insist(self, step: Step) -> None:
         """Take a step again and again until it succeeds."""
@@ -125,15 +131,12 @@
         self._circuit.note_success()
 
     async def _load(self) -> bool:
-        """Read the whole configuration, unless peers have told it."""
-        state = self._fleet.state
-        if state.core.own.ready:
-            return True
+        """Read the whole configuration."""
         loaded = await asyncio.gather(
             *map(self._load_prefix, self._settings.prefixes),
         )
         if all(loaded):
-            state.note_loaded()
+            self._fleet.state.note_loaded()
         return all(loaded)
 
     async def _load_prefix(self, prefix: str) -> bool:
@@ -176,13 +179,7 @@
     async def _cross(self) -> None:
         """Look for other failure domains until one of them is heard."""
         core = self._fleet.state.core
-        now = time.monotonic()
-        if hears_far(core):
-            self._crossed = now
-            self._pause = SEEK_AGAIN
-        elif now - self._crossed > self._pause:
-            self._crossed = now
-            self._pause = min(SEEK_LIMIT, self._pause * DOUBLING)
+        if self._crossing.is_due(time.monotonic(), well=hears_far(core)):
             await self._introductions.meet()
             self._introductions.offer_far()
 
@@ -197,6 +194,12 @@
         )
 
 
+def is_cut_off(core: Core, now: float) -> bool:
+    """Tell whether no neighbour has given a sign of late."""
+    signs = [link.last_sign for link in core.heard_links()]
+    return now - max(signs, default=0) > SILENCE
+
+
 def hears_far(core: Core) -> bool:
     """Tell whether a peer of another failure domain is heard."""
     home = core.settings.locality.failure_domain
--- a/hillfield/fleet/replication/ledger.py
+++ b/hillfield/fleet/replication/ledger.py
@@ -10,7 +10,6 @@
 from hillfield.model import Address
 
 PULL_WINDOW: Final = 32
-PULL_AGAIN: Final = 2.0
 PULL_TRIES: Final = 6
 MISSING_LIMIT: Final = 8192
 
@@ -41,8 +40,12 @@
 class EntryLedger:
     """Guard a store of entries: a key's revision only ever grows."""
 
-    def __init__(self, store: EntryStore) -> None:
-        """Start with a store that holds nothing yet."""
+    def __init__(self, store: EntryStore, pull_again: float) -> None:
+        """Start with a store that holds nothing yet.
+
+        What was not sent in `pull_again` seconds is asked of another peer.
+        """
+        self._pull_again = pull_again
         self.summary = Summary()
         self._store = store
         self._missing: dict[str, Missing] = {}
@@ -121,7 +124,7 @@
         """
         pulled = []
         for key, missing in tuple(self._missing.items())[:PULL_WINDOW]:
-            if now - missing.asked < PULL_AGAIN:
+            if now - missing.asked < self._pull_again:
                 continue
             if missing.tries >= PULL_TRIES or not peers:
                 self._missing.pop(key)
--- a/hillfield/fleet/tests/test_state.py
+++ b/hillfield/fleet/tests/test_state.py
@@ -9,6 +9,7 @@
 from hillfield.fleet.effects import Dial, SendTo, Ticked
 from hillfield.fleet.mesh import Mesh
 from hillfield.fleet.messages import Statement, Statements
+from hillfield.fleet.openrelay import is_cut_off
 from hillfield.fleet.outbox import Outbox
 from hillfield.fleet.readiness import waiting_for
 from hillfield.fleet.settings import FleetSettings
@@ -297,3 +298,15 @@
     effects = state.take(mesh.now + 0.1, Ticked())
     dialled = [effect.peer for effect in effects if isinstance(effect, Dial)]
     assert set(peers) <= set(dialled)
+
+
+def test_a_node_without_signs_of_neighbours_is_cut_off_soon(mesh):
+    """Neighbours killed with a change of the configuration told of nothing.
+
+    A node used the version before for 2.05 s after the ack of the next one;
+    it thought its neighbours alive for 3 s.
+    """
+    core = mesh.states[NODES[0]].core
+    heard = max(link.last_sign for link in core.heard_links())
+    assert not is_cut_off(core, heard + 0.7)
+    assert is_cut_off(core, heard + 0.9)
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -37,6 +37,14 @@
 SETTLE: Final[float] = 0
 # Links that a node keeps up by itself: fewer means fewer copies of news.
 DIALLED: Final = 2
+# Seconds between heartbeats of links, and of silence after which a neighbour
+# counts as lost: a change is to be in force in 2 s, also where neighbours
+# were killed at the same moment.
+HEARTBEAT: Final = 0.5
+SUSPECT_AFTER: Final = 1.5
+# Seconds after which a configuration that a peer has told of and not sent is
+# asked of another: it may have been killed. A peer answers in 20 ms.
+PULL_AGAIN: Final = 0.4
 
 
 class GatedNode(Node):
@@ -97,6 +105,9 @@
             sparse=True,
             tick=CALM_TICK,
             dialled_links=DIALLED,
+            pull_again=PULL_AGAIN,
+            heartbeat=HEARTBEAT,
+            suspect_after=SUSPECT_AFTER,
         )
 
     def _list_work(
