Dial one node of each other failure domain, another one if it fails

Modelled start of 31 nodes: 2.25 MB across in 3 s with two dialled, 1.19 MB with one; all targets are known after 0.6 s either way. Telling of changed neighbours each 0.6 s instead of 0.2 s was tried in the model and left out: 0.27 MB less, targets known 0.6 s later. Which node is dialled is drawn, so that a dead one is not drawn for ever. A node asks the store anew only after a first pause, not at its first look.

--- a/hillfield/fleet/backoff.py
+++ b/hillfield/fleet/backoff.py
@@ -8,19 +8,21 @@
 class Backoff:
     """Be due while something is not well, ever less often.
 
+    What has never been well has the first pause to become so.
+
     >>> backoff = Backoff(first=1, longest=4)
     >>> [backoff.is_due(now, well=False) for now in (0, 0.5, 1, 2, 3)]
-    [True, False, True, False, True]
+    [False, False, True, True, False]
     >>> backoff.is_due(4, well=True), backoff.is_due(4.1, well=False)
     (False, True)
     """
 
     def __init__(self, first: float, longest: float) -> None:
-        """Start well; both are seconds."""
+        """Start; both are seconds."""
         self._first = first
         self._longest = longest
         self._pause = first
-        self._next: float = 0
+        self._next: float | None = None
 
     def is_due(self, now: float, *, well: bool) -> bool:
         """Tell whether to try now; a try puts the next one off."""
@@ -28,6 +30,8 @@
             self._pause = self._first
             self._next = now
             return False
+        if self._next is None:
+            self._next = now + self._first
         if now < self._next:
             return False
         self._next = now + self._pause
--- a/hillfield/fleet/introductions.py
+++ b/hillfield/fleet/introductions.py
@@ -1,6 +1,7 @@
 """Make a node known in the store, and find its first peers there."""
 
 import time
+from random import Random
 from typing import Final
 
 from hillfield.fleet.feeds import StoreFeed
@@ -19,19 +20,28 @@
 
 PAGE: Final = 256
 # Peers that a node tries first: in its own failure domain, and for a holder
-# of a slot in each other one.
+# of a slot in each other one. With two there, 31 nodes that start together
+# tell 2.25 MB across in 3 s and know all targets no sooner than with one and
+# 1.19 MB (modelled).
 OFFERED_NEAR: Final = 3
-OFFERED_FAR: Final = 2
+OFFERED_FAR: Final = 1
 
 
 class Introductions:
     """Write where this node listens, and read where others do."""
 
-    def __init__(self, fleet: Fleet, store: Store, feed: StoreFeed) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        store: Store,
+        feed: StoreFeed,
+        random: Random,
+    ) -> None:
         """Do nothing yet; the feed takes note of failed calls."""
         self._fleet = fleet
         self._store = store
         self._feed = feed
+        self._random = random
         self._registered: tuple[Registration, ...] = ()
         self._own_domain = fleet.settings.locality.failure_domain
 
@@ -84,18 +94,16 @@
         return own in ranked[:SLOTS]
 
     def _offer(self, domain: str, most: int) -> None:
-        """Offer the first few of a failure domain, as this node ranks them."""
+        """Dial a few of a failure domain, others at each call."""
         name = self._fleet.settings.name
-        found = sorted(
-            (
-                registration
-                for registration in self._registered
-                if registration.domain == domain and registration.name != name
-            ),
-            key=lambda registration: rank_of(name, registration.name),
-        )
+        found = [
+            registration
+            for registration in self._registered
+            if registration.domain == domain and registration.name != name
+        ]
         now = time.monotonic()
-        for registration in found[:most]:
+        chosen = self._random.sample(found, min(most, len(found)))
+        for registration in chosen:
             # A node that has just started must not wait for its next turn.
             self._fleet.state.dial(now, registration.link)
 
--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -94,7 +94,12 @@
             random,
             journal,
         )
-        self._introductions = Introductions(fleet, store, self._feed)
+        self._introductions = Introductions(
+            fleet,
+            store,
+            self._feed,
+            random,
+        )
 
     async def run(self) -> None:
         """Load the configuration, meet peers, take turns; until cancelled."""
