Read a prefix in one place; drop what the adapter decoded for nobody

Left as they are: BaselineBoard and PathBoard keep records alike in shape only (one believes probes, the other ways); shapes of data classes and readings.

--- a/hillfield/fleet/feeds.py
+++ b/hillfield/fleet/feeds.py
@@ -1,7 +1,7 @@
 """Feed the fleet with all that the store holds under some prefixes."""
 
 import time
-from asyncio import TaskGroup, sleep
+from asyncio import TaskGroup, gather, sleep
 from dataclasses import dataclass
 from random import Random
 from typing import Final
@@ -68,6 +68,13 @@
                 if self._settings.check:
                     group.create_task(self._check(prefix))
 
+    async def load(self) -> bool:
+        """Read all prefixes once; tell whether all could be read."""
+        loaded = await gather(*map(self._read, self._settings.prefixes))
+        if all(loaded):
+            self._fleet.state.note_loaded()
+        return all(loaded)
+
     def note_error(self, error: StoreError) -> None:
         """Record a failed call, not each of a row."""
         now = time.monotonic()
@@ -82,8 +89,7 @@
                 ),
             )
 
-    def take(self, prefix: str, followed: Followed, known: int = 0) -> None:
-        """Submit what was read; `known` was the newest revision before."""
+    def _take(self, prefix: str, followed: Followed, known: int) -> None:
         state = self._fleet.state
         match followed:
             case Snapshot():
@@ -94,17 +100,18 @@
             case StoreError():
                 self.note_error(followed)
 
+    async def _read(self, prefix: str) -> bool:
+        state = self._fleet.state
+        known = state.core.ledger.newest_under(prefix)
+        read = await read_span(self._store, Span(prefix), PAGE)
+        self._take(prefix, read.error if read.is_error() else read.ok, known)
+        return read.is_ok()
+
     async def _check(self, prefix: str) -> None:
-        ledger = self._fleet.state.core.ledger
         while True:
             share = self._random.uniform(SHORTEST_CHECK, 1)
             await sleep(self._settings.check * share)
-            known = ledger.newest_under(prefix)
-            read = await read_span(self._store, Span(prefix), PAGE)
-            if read.is_error():
-                self.note_error(read.error)
-            else:
-                self.take(prefix, read.ok, known)
+            await self._read(prefix)
 
     async def _follow(self, prefix: str) -> None:
         follower = Follower(
@@ -117,7 +124,7 @@
         ledger = state.core.ledger
         known = ledger.newest_under(prefix)
         async for followed in follower.follow():
-            self.take(prefix, followed, known)
+            self._take(prefix, followed, known)
             known = ledger.newest_under(prefix)
             if len(self._loaded) == len(self._settings.prefixes):
                 state.note_loaded()
--- a/hillfield/fleet/introductions.py
+++ b/hillfield/fleet/introductions.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Final
 
-from hillfield.fleet.feeds import StoreFeed
+from hillfield.fleet.feeds import PAGE, StoreFeed
 from hillfield.fleet.registrations import Registration, read_registrations
 from hillfield.fleet.service import Fleet
 from hillfield.fleet.slots import SLOTS, prefix_of, rank_of
@@ -18,7 +18,6 @@
     read_span,
 )
 
-PAGE: Final = 256
 # Peers that a node tries first: in its own failure domain, and for a holder
 # of a slot in each other one. With two there, 31 nodes that start together
 # tell 2.25 MB across in 3 s and know all targets no sooner than with one and
--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -8,7 +8,6 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from random import Random
 from typing import Final
 
@@ -18,9 +17,9 @@
 from hillfield.fleet.feeds import FeedSettings, StoreFeed
 from hillfield.fleet.records import NodeRecord
 from hillfield.fleet.service import Fleet
-from hillfield.fleet.introductions import PAGE, Introductions
+from hillfield.fleet.introductions import Introductions
 from hillfield.fleet.slots import find_open_slot, rank_of
-from hillfield.store import FollowSettings, Span, Store, read_span
+from hillfield.store import Store
 from hillfield.store.retries import Circuit, RetrySettings
 
 # Seconds between looks at who follows the store.
@@ -51,18 +50,6 @@
 Step = Callable[[], Awaitable[bool]]
 
 
-@dataclass(frozen=True, slots=True)
-class OpenRelaySettings:
-    """Say which keys hold the configuration and how they are followed.
-
-    Each follower reads them anew each `check` seconds at the latest.
-    """
-
-    prefixes: tuple[str, ...]
-    following: FollowSettings = field(default_factory=FollowSettings)
-    check: float = CHECK
-
-
 class OpenRelay:
     """Bridge the store and the fleet for as long as `run` runs."""
 
@@ -70,14 +57,12 @@
         self,
         fleet: Fleet,
         store: Store,
-        settings: OpenRelaySettings,
+        settings: FeedSettings,
         random: Random,
         journal: Journal,
     ) -> None:
         """Do nothing yet."""
         self._fleet = fleet
-        self._store = store
-        self._settings = settings
         self._random = random
         self._journal = journal
         self._circuit = Circuit(RETRIES, random)
@@ -86,11 +71,7 @@
         self._feed = StoreFeed(
             fleet,
             store,
-            FeedSettings(
-                settings.prefixes,
-                settings.following,
-                settings.check,
-            ),
+            settings,
             random,
             journal,
         )
@@ -108,7 +89,7 @@
             group.create_task(self._take_turns())
 
     async def _start(self) -> None:
-        await self._insist(self._load)
+        await self._insist(self._feed.load)
         await self._insist(self._introductions.register)
         await self._insist(self._introductions.meet)
         self._met.set()
@@ -126,7 +107,7 @@
                 await self._introductions.meet()
             if reading.is_due(now, well=not is_cut_off(core, now)):
                 # What neighbours would tell may have changed meanwhile.
-                await self._load()
+                await self._feed.load()
 
     async def _insist(self, step: Step) -> None:
         """Take a step again and again until it succeeds."""
@@ -135,23 +116,6 @@
             await asyncio.sleep(self._circuit.find_wait(time.monotonic()))
         self._circuit.note_success()
 
-    async def _load(self) -> bool:
-        """Read the whole configuration."""
-        loaded = await asyncio.gather(
-            *map(self._load_prefix, self._settings.prefixes),
-        )
-        if all(loaded):
-            self._fleet.state.note_loaded()
-        return all(loaded)
-
-    async def _load_prefix(self, prefix: str) -> bool:
-        read = await read_span(self._store, Span(prefix), PAGE)
-        if read.is_error():
-            self._feed.note_error(read.error)
-            return False
-        self._feed.take(prefix, read.ok)
-        return True
-
     async def _take_turns(self) -> None:
         await self._met.wait()
         if not self._introductions.is_among_first():
--- a/hillfield/fleet/settings.py
+++ b/hillfield/fleet/settings.py
@@ -13,12 +13,12 @@
     `tick` is the time between looks at what is due, `incarnation` the wall
     clock's milliseconds at the start of the process, `suspect_after` the
     silence after which a neighbour isn't heard any more, `link_dead_after`
-    that after which its link is given up, `orphan_hold` how long targets outlast their lost node, `settle` how long
-    a started node gathers announcements before it replaces those of its
-    earlier life, `pull_again` after how long an entry that a peer did not send
-    is asked of another, `sparse` that only holders of a relay slot link to other
-    failure domains, where bytes between those are dear, `faults` what tests
-    break on purpose.
+    that after which its link is given up, `orphan_hold` how long targets
+    outlast their lost node, `settle` how long a started node gathers
+    announcements before it replaces those of its earlier life, `pull_again`
+    after how long an entry that a peer did not send is asked of another,
+    `sparse` that only holders of a relay slot link to other failure domains,
+    where bytes between those are dear, `faults` what tests break on purpose.
     """
 
     cluster: str
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -13,6 +13,7 @@
     DEADLINE,
     NOT_RUN,
     OUTCOME,
+    names_request,
     read_retry_after,
     show_milliseconds,
 )
@@ -27,7 +28,6 @@
     TimedOut,
 )
 
-REQUEST_ID: Final = 'X-Request-Id'
 STEP: Final = 'Hillfield-Step'
 # Steps that a gate takes before the first byte goes to its target.
 BEFORE_SENDING: Final = frozenset(
@@ -123,7 +123,7 @@
 
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
-        return headers.get(REQUEST_ID, request) == request
+        return names_request(request, headers)
 
     @property
     def sends_signs(self) -> bool:
--- a/hillfield/hostroutes/routes.py
+++ b/hillfield/hostroutes/routes.py
@@ -1,6 +1,6 @@
 """Routes by host and the longest prefix of the path."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -58,16 +58,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """Hold one version of all routes.
-
-    `connection_limits` are the connections that one target of each service
-    accepts.
-    """
+    """Hold one version of all routes."""
 
     version: int
     routes: tuple[HostRoute, ...] = ()
     limits: RouteLimits | None = None
-    connection_limits: dict[str, int] = field(default_factory=dict)
 
     def services(self) -> tuple[str, ...]:
         """Return the services that some route leads to, sorted."""
--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -7,7 +7,7 @@
 
 from hillfield.announcements import TargetRegistry
 from hillfield.detection.paths import PathBoard
-from hillfield.fleet.openrelay import OpenRelaySettings
+from hillfield.fleet.feeds import FeedSettings
 from hillfield.gate.seating import Seating
 from hillfield.hostroutes import HostPlanner
 from hillfield.model import AnswerChecks
@@ -44,7 +44,7 @@
     callers: ProxySettings
     hops: ProxySettings
     checks: AnswerChecks
-    relay: OpenRelaySettings
+    relay: FeedSettings
     make_listeners: Callable[[Seating, NodePage], tuple[Listening, ...]]
 
 
--- a/hillfield/node/parts.py
+++ b/hillfield/node/parts.py
@@ -10,8 +10,7 @@
 from hillfield.events import Timeline
 from hillfield.fleet import EntryStore
 from hillfield.metrics import NodeMetrics
-from hillfield.model import ServicePolicy
-from hillfield.node.desk import ServiceDesk
+from hillfield.node.desk import PolicySource, ServiceDesk
 from hillfield.node.journal import CountingJournal
 from hillfield.proxy import PlanSource, ProxyServer, ProxySettings
 from hillfield.routing import DispatcherTable
@@ -31,16 +30,9 @@
         """Note that all entries of the store have come."""
 
 
-class ConfigurationSource(PlanSource, Protocol):
+class ConfigurationSource(PlanSource, PolicySource, Protocol):
     """Show the configuration in force."""
 
-    @property
-    def generation(self) -> int:
-        """Return a number that grows when any service's policy changes."""
-
-    def policy(self, service: str) -> ServicePolicy | None:
-        """Return how a service's traffic is treated, if it is known."""
-
     def services(self) -> tuple[str, ...]:
         """Return the services that are configured, sorted."""
 
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -33,8 +33,6 @@
 GRACE: Final = 6.0
 RETRY_RATIO: Final = 0.2
 FLOOR: Final = 0.7
-# Seconds left of the grace for closing links after the last answer.
-LAST_SECONDS: Final = 0.5
 
 
 class Listen(Struct, frozen=True):
@@ -60,8 +58,7 @@
 class BootFile(Struct, frozen=True, rename='camel'):
     """Hold the fields of the file that hillfield reads; others may come.
 
-    `app_addr` is the address of the host's target, `service` the service
-    that it serves.
+    `service` is the one that the host's target serves.
     """
 
     node: str
@@ -72,7 +69,6 @@
     internal_ports: tuple[int, int]
     platform: StorePlace
     service: str = ''
-    app_addr: str = ''
     heartbeat: float = field(name='heartbeatS', default=HEARTBEAT)
     limits: Limits = field(default_factory=Limits)
     bounds: tuple[str, ...] = ()
@@ -121,20 +117,19 @@
 
 
 def _make_boot(wire: BootFile) -> Boot:
-    grace = wire.bound('graceS', GRACE)
     return Boot(
-        settings=_make_settings(wire, grace),
+        settings=_make_settings(wire),
         service=wire.service,
         ready=_read_address('listen.ready', wire.listen.ready),
         heartbeats=_read_address('listen.control', wire.listen.control),
         hops=Address(wire.ip, wire.internal_ports[0] + HOPS),
-        grace=grace,
+        grace=wire.bound('graceS', GRACE),
         retry_ratio=wire.bound('retryBudgetRatio', RETRY_RATIO),
         floor=wire.bound('floorShare', FLOOR),
     )
 
 
-def _make_settings(wire: BootFile, grace: float) -> NodeSettings:
+def _make_settings(wire: BootFile) -> NodeSettings:
     first = wire.internal_ports[0]
     return NodeSettings(
         name=wire.node,
@@ -152,7 +147,6 @@
             heartbeat=wire.heartbeat,
             expiry=MISSED_BEATS * wire.heartbeat,
         ),
-        drain_bound=grace - LAST_SECONDS,
     )
 
 
--- a/hillfield/platform/configuration.py
+++ b/hillfield/platform/configuration.py
@@ -43,13 +43,6 @@
     rules: tuple[Rule, ...] = ()
 
 
-class Cluster(Struct, frozen=True, rename='camel'):
-    """Describe a service."""
-
-    name: str
-    max_connections: int = 0
-
-
 class Limits(Struct, frozen=True, rename='camel'):
     """Bound what callers send."""
 
@@ -64,5 +57,4 @@
 
     version: int
     listeners: tuple[Listener, ...]
-    clusters: tuple[Cluster, ...] = ()
     limits: Limits | None = None
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -3,7 +3,8 @@
 from random import Random
 from typing import Final
 
-from hillfield.fleet.openrelay import OpenRelaySettings
+from hillfield.fleet.feeds import FeedSettings
+from hillfield.fleet.openrelay import CHECK
 from hillfield.gate import HopDialect, Seat
 from hillfield.gate.seating import Seating
 from hillfield.hostroutes import HostPlanner, PlannerSettings, make_policy
@@ -92,9 +93,10 @@
             callers=self._make_caller_settings(),
             hops=self._make_hop_settings(),
             checks=SIGNED,
-            relay=OpenRelaySettings(
+            relay=FeedSettings(
                 (KEY,),
                 FollowSettings(turn=TURN, retries=STORE_RETRIES),
+                CHECK,
             ),
             make_listeners=self.make_listeners,
         )
--- a/hillfield/platform/headers.py
+++ b/hillfield/platform/headers.py
@@ -10,13 +10,13 @@
 from hillfield.model import AnswerChecks, RequestPlan
 from hillfield.proxy.dialects import (
     CallerDialect,
+    names_request,
     read_retry_after,
     show_milliseconds,
 )
 from hillfield.proxy.fields import Fields
 from hillfield.routing.requests import Observation, Send, Shed
 
-REQUEST_ID: Final = 'X-Request-Id'
 # Milliseconds that the sender will wait.
 DEADLINE: Final = 'X-Deadline'
 # The name by which a target calls its present life.
@@ -81,7 +81,7 @@
 
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
-        return headers.get(REQUEST_ID, request) == request
+        return names_request(request, headers)
 
     @property
     def sends_signs(self) -> bool:
--- a/hillfield/platform/routes.py
+++ b/hillfield/platform/routes.py
@@ -32,10 +32,6 @@
                 for rule in listener.rules
             ),
             None if wire.limits is None else _make_limits(wire.limits),
-            {
-                cluster.name: cluster.max_connections
-                for cluster in wire.clusters
-            },
         ),
     )
 
--- a/hillfield/proxy/dialects.py
+++ b/hillfield/proxy/dialects.py
@@ -13,6 +13,7 @@
 OUTCOME: Final = 'Hillfield-Outcome'
 NOT_RUN: Final = 'not-run'
 DEADLINE: Final = 'X-Deadline-Ms'
+REQUEST_ID: Final = 'X-Request-Id'
 MILLISECONDS: Final = 1000
 
 
@@ -97,6 +98,15 @@
         return False
 
 
+def names_request(request: str, headers: HTTPHeaders) -> bool:
+    """Tell whether an answer names the request of this id, or none.
+
+    >>> names_request('a', HTTPHeaders({'X-Request-Id': 'b'}))
+    False
+    """
+    return headers.get(REQUEST_ID, request) == request
+
+
 def show_milliseconds(seconds: float) -> str:
     """Return whole milliseconds, 0 at the least.
 
