Tell other failure domains each domain's own news only, gathered

A statement was flooded over each of the 4 links that join two domains, by whoever heard it, also back to its home; each change of a neighbour made one. An entry of the configuration was pulled across although each domain follows the store itself. Ruled out: heartbeats (0.2 MB in 20 s of 21 nodes). Changed: over a link between domains go only statements of the own domain, only from holders of a relay slot, gathered for 0.6 s; the hashes mend the rest after 3 s; an entry offered from afar is pulled after 0.25 s if nobody near has it. Modelled (Mesh, 21 nodes, 3 domains), bytes across, before and after: start 635 to 187 kB in 5 s; 20 restarts 1,056 to 365 kB; 5 changes 383 to 63 kB. Test that failed first: test_dear_links (2 of 6 fail with dear links as others).

--- a/hillfield/fleet/outbox.py
+++ b/hillfield/fleet/outbox.py
@@ -28,6 +28,28 @@
     versions: dict[str, Version] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Lane:
+    """Hold the batches that are sent together, `pause` seconds apart."""
+
+    pause: float
+    batches: dict[Address, Batch] = field(default_factory=dict)
+    flushed: float = -inf
+
+    def batch(self, peer: Address) -> Batch:
+        """Return the batch that waits for a peer."""
+        return self.batches.setdefault(peer, Batch())
+
+    def take_due(self, now: float) -> dict[Address, Batch]:
+        """Return the batches if they are due."""
+        if not self.batches or now - self.flushed < self.pause:
+            return {}
+        self.flushed = now
+        due = self.batches
+        self.batches = {}
+        return due
+
+
 class Outbox:
     """Gather effects until they are taken."""
 
@@ -35,8 +57,8 @@
         """Start empty."""
         self._settings = settings
         self._effects: list[Effect] = []
-        self._batches: dict[Address, Batch] = {}
-        self._flushed = -inf
+        self._prompt = Lane(settings.flush_after)
+        self._dear = Lane(settings.dear_flush_after)
 
     def send(self, peer: Address, message: Message) -> None:
         """Send a message now."""
@@ -48,41 +70,48 @@
 
     def hang_up(self, peer: Address) -> None:
         """Close a link and forget what waits for it."""
-        self._batches.pop(peer, None)
+        for lane in (self._prompt, self._dear):
+            lane.batches.pop(peer, None)
         self._effects.append(HangUp(peer))
 
     def report(self, occurrence: Occurrence) -> None:
         """Record an event."""
         self._effects.append(Report(occurrence))
 
-    def pass_on(self, peer: Address, statement: Statement) -> None:
-        """Send a statement with the next batch."""
-        waiting = self._batches.setdefault(peer, Batch()).statements
+    def pass_on(
+        self,
+        peer: Address,
+        statement: Statement,
+        *,
+        dear: bool = False,
+    ) -> None:
+        """Send a statement with the next batch; dear ones wait for more."""
+        lane = self._dear if dear else self._prompt
+        waiting = lane.batch(peer).statements
         if len(waiting) < BATCH_LIMIT:
             waiting[statement.kind + statement.name] = statement
 
     def leave_out(self, peer: Address, known: Statement) -> None:
         """Don't send a peer what it has just sent itself, or older."""
-        if peer not in self._batches:
-            return
-        batch = self._batches[peer].statements
         key = known.kind + known.name
-        if key in batch and batch[key].order <= known.order:
-            batch.pop(key)
+        for lane in (self._prompt, self._dear):
+            if peer not in lane.batches:
+                continue
+            batch = lane.batches[peer].statements
+            if key in batch and batch[key].order <= known.order:
+                batch.pop(key)
 
     def announce(self, peer: Address, version: Version) -> None:
         """Announce an entry with the next batch."""
-        waiting = self._batches.setdefault(peer, Batch()).versions
+        waiting = self._prompt.batch(peer).versions
         if len(waiting) < BATCH_LIMIT:
             waiting[version.key] = version
 
     def take(self, now: float) -> tuple[Effect, ...]:
         """Return the effects, with the batches when they are due."""
-        if self._batches and now - self._flushed >= self._settings.flush_after:
-            self._flushed = now
-            for peer, batch in self._batches.items():
+        for lane in (self._prompt, self._dear):
+            for peer, batch in lane.take_due(now).items():
                 self._flush(peer, batch)
-            self._batches = {}
         effects = tuple(self._effects)
         self._effects = []
         return effects
--- a/hillfield/fleet/replication/anti_entropy.py
+++ b/hillfield/fleet/replication/anti_entropy.py
@@ -17,10 +17,15 @@
     Want,
 )
 from hillfield.fleet.pages import pages_of
+from hillfield.fleet.peering.distance import is_dear
 from hillfield.fleet.peering.link_table import Link
+from hillfield.fleet.replication.entry_spreading import note_offers
 from hillfield.fleet.replication.summary import BUCKETS
 
 PATIENCE: Final = 2
+# Over a dear link news comes late by its gathering and is told by others
+# too: hashes that differ for 3 s are no mere delay.
+DEAR_PATIENCE: Final = 6
 REPAIR_AGAIN: Final = 3.0
 JOIN_AGAIN: Final = 0.5
 BUCKETS_AT_ONCE: Final = 16
@@ -74,7 +79,7 @@
         if _is_newer(mine, theirs.get(mine.key))
     )
     if message.subject == Subject.ENTRIES:
-        _offer_both_ways(core, link, newer_here, message.versions)
+        _offer_both_ways(core, source.now, link, newer_here, message.versions)
         return
     keys = tuple(mine.key for mine in newer_here[:WANT_LIMIT])
     _give(core, link, message.subject, keys)
@@ -98,7 +103,8 @@
 
 def _compare(core: Core, now: float, link: Link, subject: Subject) -> None:
     joining = not core.own.ready
-    patient = joining or link.differences[subject] >= PATIENCE
+    wanted = DEAR_PATIENCE if is_dear(core, link) else PATIENCE
+    patient = joining or link.differences[subject] >= wanted
     pause = JOIN_AGAIN if joining else REPAIR_AGAIN
     if not link.up or not patient or now - link.repaired < pause:
         return
@@ -117,6 +123,7 @@
 
 def _offer_both_ways(
     core: Core,
+    now: float,
     link: Link,
     ours: tuple[Version, ...],
     theirs: tuple[Version, ...],
@@ -128,8 +135,7 @@
     """
     for mine in ours:
         core.outbox.announce(link.address, mine)
-    for version in theirs:
-        core.ledger.note_offer(link.address, version)
+    note_offers(core, now, link, theirs)
 
 
 def _is_newer(mine: Version, theirs: Version | None) -> bool:
--- a/hillfield/fleet/replication/entry_spreading.py
+++ b/hillfield/fleet/replication/entry_spreading.py
@@ -1,14 +1,21 @@
 """Spread configuration entries: announce, pull, adopt, announce on."""
 
 from collections import defaultdict
+from math import inf
+from typing import Final
 
 from hillfield.configuration.entries import Entry
 from hillfield.fleet.core import Core, Subject
 from hillfield.fleet.handling import Source, react
 from hillfield.fleet.messages import Entries, Have, Version, Want
+from hillfield.fleet.peering.distance import is_dear
 from hillfield.fleet.peering.link_table import Link
 from hillfield.model import Address
 
+# Seconds that an entry offered by another failure domain is left to the
+# domain's own followers of the store: they hear of it within 0.05 s (bench).
+DEAR_WAIT: Final = 0.25
+
 
 def adopt(core: Core, entry: Entry, source: Link | None) -> bool:
     """Adopt an entry and announce it; an older one is refused."""
@@ -22,6 +29,22 @@
     return True
 
 
+def note_offers(
+    core: Core,
+    now: float,
+    link: Link,
+    versions: tuple[Version, ...],
+) -> None:
+    """Note which entries a neighbour has; those it alone has are pulled.
+
+    Over a dear link a pull waits until this domain's own followers of the
+    store would have told the entry.
+    """
+    earliest = now + DEAR_WAIT if is_dear(core, link) else -inf
+    for version in versions:
+        core.ledger.note_offer(link.address, version, earliest)
+
+
 def pull(core: Core, now: float) -> None:
     """Ask for what is known to be missing, within the window."""
     if not core.ledger.lacking:
@@ -37,8 +60,7 @@
 @react.register
 def _(message: Have, core: Core, source: Source) -> None:
     if source.link is not None:
-        for version in message.versions:
-            core.ledger.note_offer(source.link.address, version)
+        note_offers(core, source.now, source.link, message.versions)
 
 
 @react.register
--- a/hillfield/fleet/replication/ledger.py
+++ b/hillfield/fleet/replication/ledger.py
@@ -29,13 +29,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Missing:
-    """Hold that a peer has a newer revision of a key than we."""
+    """Hold that a peer has a newer revision of a key than we.
+
+    It is asked for no sooner than `earliest`, and again some time after
+    `asked`.
+    """
 
     version: Version
     peer: Address
+    earliest: float = -inf
     asked: float = -inf
     tries: int = 0
 
+    def is_due(self, now: float, pull_again: float) -> bool:
+        """Tell whether it may be asked for now."""
+        waited = now - self.asked >= pull_again
+        return waited and now >= self.earliest
+
 
 class EntryLedger:
     """Guard a store of entries: a key's revision only ever grows."""
@@ -100,18 +110,28 @@
             self._missing.pop(entry.key)
         return True
 
-    def note_offer(self, peer: Address, version: Version) -> None:
-        """Note that a peer holds a revision; it is pulled if it is newer."""
+    def note_offer(
+        self,
+        peer: Address,
+        version: Version,
+        earliest: float = -inf,
+    ) -> None:
+        """Note that a peer holds a revision; it is pulled if it is newer.
+
+        An offer that may be taken up sooner stands in for one like it.
+        """
         known = self.revision_of(version.key)
         missing = self._missing.get(version.key)
-        if missing:
+        if missing and missing.earliest <= earliest:
             known = max(known, missing.version.version)
+        elif missing:
+            known = max(known, missing.version.version - 1)
         news = version.version > known and self._store.wants(
             version.key,
             version.version,
         )
         if news and len(self._missing) < MISSING_LIMIT:
-            self._missing[version.key] = Missing(version, peer)
+            self._missing[version.key] = Missing(version, peer, earliest)
 
     def due(
         self,
@@ -124,7 +144,7 @@
         """
         pulled = []
         for key, missing in tuple(self._missing.items())[:PULL_WINDOW]:
-            if now - missing.asked < self._pull_again:
+            if not missing.is_due(now, self._pull_again):
                 continue
             if missing.tries >= PULL_TRIES or not peers:
                 self._missing.pop(key)
--- a/hillfield/fleet/settings.py
+++ b/hillfield/fleet/settings.py
@@ -17,8 +17,10 @@
     outlast their lost node, `settle` how long a started node gathers
     announcements before it replaces those of its earlier life, `pull_again`
     after how long an entry that a peer did not send is asked of another,
-    `sparse` that only holders of a relay slot link to other failure domains,
-    where bytes between those are dear, `faults` what tests break on purpose.
+    `sparse` that only holders of a relay slot link to other failure domains
+    and tell them their own domain's news, since bytes between those are dear,
+    `dear_flush_after` how long that news is gathered, `faults` what tests
+    break on purpose.
     """
 
     cluster: str
@@ -38,6 +40,7 @@
     forget_after: float = 60
     settle: float = 3
     flush_after: float = 0.05
+    dear_flush_after: float = 0.05
     evidence_life: float = 10
     pull_again: float = 2
     redial_after: float = 1
--- a/hillfield/fleet/state.py
+++ b/hillfield/fleet/state.py
@@ -89,7 +89,7 @@
         )
         core.own.published = -inf
         membership.publish_record(core, now)
-        flushed = core.outbox.take(now + core.settings.flush_after)
+        flushed = core.outbox.take(now + core.settings.dear_flush_after)
         for link in core.links:
             upkeep.close(core, link)
         return flushed + core.outbox.take(now)
--- a/hillfield/fleet/statements.py
+++ b/hillfield/fleet/statements.py
@@ -6,6 +6,7 @@
 from hillfield.fleet.book import StatementBook, key_of
 from hillfield.fleet.core import Core
 from hillfield.fleet.messages import Statement
+from hillfield.fleet.peering.distance import concerns, is_dear
 from hillfield.fleet.peering.link_table import Link
 from hillfield.fleet.records import Kind
 
@@ -82,8 +83,12 @@
 
 def _spread(core: Core, statement: Statement, source: Link | None) -> None:
     for link in core.links:
-        if link.up and link is not source:
-            core.outbox.pass_on(link.address, statement)
+        if link.up and link is not source and concerns(core, link, statement):
+            core.outbox.pass_on(
+                link.address,
+                statement,
+                dear=is_dear(core, link),
+            )
 
 
 def _show(core: Core, now: float, statement: Statement) -> None:
--- /dev/null
+++ b/hillfield/fleet/tests/test_dear_links.py
@@ -0,0 +1,173 @@
+"""Links between failure domains whose bytes are dear."""
+
+from random import Random
+
+import pytest
+
+from hillfield.configuration.entries import Entry
+from hillfield.fleet.envelope import Codec
+from hillfield.fleet.mesh import Mesh
+from hillfield.fleet.messages import Entries, Statements, Version, Want
+from hillfield.fleet.replication.entry_spreading import DEAR_WAIT
+from hillfield.fleet.settings import FleetSettings
+from hillfield.model import Address, Locality, Target, TargetId
+
+DOMAINS = ('a', 'b', 'c')
+NODES = 4
+HOLDERS = 2
+
+
+class CountingMesh(Mesh):
+    """Count what crosses failure domains, by kind of message."""
+
+    def __init__(self):
+        super().__init__(Random(3))
+        self.crossed = []
+
+    def count(self, kind):
+        return sum(isinstance(message, kind) for message in self.crossed)
+
+    def _hand_over(self, letter):
+        sender = self.states.get(letter.sender)
+        receiver = self.states[letter.receiver]
+        opened = Codec(receiver.core.settings).open(letter.sealed)
+        if sender is None or domain_of(sender) != domain_of(receiver):
+            self.crossed.append(opened.ok.message)
+        super()._hand_over(letter)
+
+
+def domain_of(state):
+    return state.core.settings.locality.failure_domain
+
+
+def settings_of(domain, number):
+    name = f'{domain}{number}'
+    place = DOMAINS.index(domain) * NODES + number
+    address = Address('127.0.0.1', 9100 + place)
+    return FleetSettings(
+        cluster='north',
+        key=b'key',
+        name=name,
+        incarnation=1,
+        locality=Locality('r', domain, name),
+        link=address,
+        control=address,
+        caller=address,
+        settle=0,
+        sparse=True,
+        dear_flush_after=0.6,
+    )
+
+
+def target_of(settings, incarnation=1):
+    identity = TargetId('s', settings.link, incarnation)
+    return Target(identity, settings.locality, 2, 8)
+
+
+ALL = tuple(
+    settings_of(domain, number) for domain in DOMAINS for number in range(NODES)
+)
+
+
+@pytest.fixture
+def mesh():
+    mesh = CountingMesh()
+    for settings in ALL:
+        mesh.add(settings)
+    mesh.run(0.1)
+    for settings in ALL:
+        mesh.states[settings.link].publish_targets(
+            mesh.now,
+            (target_of(settings),),
+        )
+        introduce(mesh, settings)
+    mesh.run(10)
+    mesh.crossed.clear()
+    return mesh
+
+
+def introduce(mesh, settings):
+    state = mesh.states[settings.link]
+    domain = settings.locality.failure_domain
+    state.dial(mesh.now, settings_of(domain, 0).link)
+    number = int(settings.name[1:])
+    if number < HOLDERS:
+        state.hold_slot(f'{domain}/{number}')
+        for far in DOMAINS:
+            if far != domain:
+                state.dial(mesh.now, settings_of(far, number).link)
+
+
+def revisions_of(mesh):
+    ledgers = (state.core.ledger for state in mesh.states.values())
+    return {ledger.revision_of('/k') for ledger in ledgers}
+
+
+def seen_by(mesh, settings):
+    view = mesh.states[settings.link].core.view
+    return {target.id for target in view.targets_of('s')}
+
+
+def test_all_targets_are_known_in_all_domains(mesh):
+    wanted = {target_of(settings).id for settings in ALL}
+    assert all(seen_by(mesh, settings) == wanted for settings in ALL)
+
+
+def test_each_domain_tells_the_others_its_own_news_once_a_holder(mesh):
+    changed = ALL[3]
+    mesh.states[changed.link].publish_targets(
+        mesh.now,
+        (target_of(changed, 2),),
+    )
+    mesh.run(2)
+    told = [
+        statement
+        for message in mesh.crossed
+        if isinstance(message, Statements)
+        for statement in message.statements
+    ]
+    assert {statement.name for statement in told} == {changed.name}
+    assert len(told) <= HOLDERS * 2 * (len(DOMAINS) - 1)
+    assert target_of(changed, 2).id in seen_by(mesh, ALL[-1])
+
+
+def test_news_reaches_a_domain_whose_link_to_its_home_is_cut(mesh):
+    for first in ALL[:NODES]:
+        for last in ALL[-NODES:]:
+            mesh.cut.add((first.link, last.link))
+            mesh.cut.add((last.link, first.link))
+    changed = ALL[3]
+    mesh.states[changed.link].publish_targets(
+        mesh.now,
+        (target_of(changed, 2),),
+    )
+    mesh.run(9)
+    assert target_of(changed, 2).id in seen_by(mesh, ALL[-1])
+
+
+def test_entries_that_each_domain_reads_itself_do_not_cross(mesh):
+    for state in mesh.states.values():
+        if state.core.own.record.relay_of:
+            state.submit(Entry('/k', 7, b'routes'))
+    mesh.run(3)
+    assert not mesh.count(Want)
+    assert not mesh.count(Entries)
+    assert revisions_of(mesh) == {7}
+
+
+def test_an_entry_that_a_domain_cannot_read_itself_comes_across_soon(mesh):
+    first = mesh.states[ALL[0].link]
+    first.submit(Entry('/k', 7, b'routes'))
+    mesh.run(1)
+    assert revisions_of(mesh) == {7}
+
+
+def test_an_offer_of_the_own_domain_is_taken_up_at_once(mesh):
+    ledger = mesh.states[ALL[0].link].core.ledger
+    near = ALL[1].link
+    far = ALL[-1].link
+    ledger.note_offer(far, Version('/k', 0, 7), mesh.now + DEAR_WAIT)
+    assert not ledger.due(mesh.now, (near, far))
+    ledger.note_offer(near, Version('/k', 0, 7))
+    pulled = ledger.due(mesh.now, (near, far))
+    assert [missing.peer for missing in pulled] == [near]
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -45,6 +45,11 @@
 # Seconds after which a configuration that a peer has told of and not sent is
 # asked of another: it may have been killed. A peer answers in 20 ms.
 PULL_AGAIN: Final = 0.4
+# Seconds for which news for another failure domain is gathered, so that
+# several records of one node go across as one. A target's leaving binds at
+# its gate, so nothing hangs on it. With 0.6 s and a domain's own news only,
+# 20 restarts of 21 nodes tell 0.37 MB across, before 1.06 MB (modelled).
+DEAR_FLUSH: Final = 0.6
 
 
 class GatedNode(Node):
@@ -108,6 +113,7 @@
             pull_again=PULL_AGAIN,
             heartbeat=HEARTBEAT,
             suspect_after=SUSPECT_AFTER,
+            dear_flush_after=DEAR_FLUSH,
         )
 
     def _list_work(
