Ask no gate again for 1.5 s that holds work back, but for trials

Changed: a refusal says by its event whether it lasts (TARGET_HELD_BACK, or another life is served); the caller's node then asks that gate for 1.5 s only as the last choice, or with a request that may be a trial and has not been declined. Tests that failed first: test_declining (2 of 4 new ones), test_gate.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -43,6 +43,7 @@
     REQUEST_TIMED_OUT = 3513
     ANSWER_WRONG = 3514
     TARGET_DECLINED = 3515
+    TARGET_HELD_BACK = 3516
     RETRY_BUDGET_EMPTY = 3520
     OVERLOAD_STARTED = 3521
     OVERLOAD_ENDED = 3522
@@ -128,6 +129,7 @@
         EventCode.REQUEST_TIMED_OUT: 'error',
         EventCode.ANSWER_WRONG: 'error',
         EventCode.TARGET_DECLINED: 'info',
+        EventCode.TARGET_HELD_BACK: 'info',
         EventCode.RETRY_BUDGET_EMPTY: 'warning',
         EventCode.OVERLOAD_STARTED: 'warning',
         EventCode.OVERLOAD_ENDED: 'info',
--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -20,9 +20,12 @@
 COME_BACK: Final = 0.05
 
 
-def _describe(detail: str) -> Cause:
+def _describe(
+    detail: str,
+    event: EventCode = EventCode.TARGET_DECLINED,
+) -> Cause:
     return Cause(
-        EventCode.TARGET_DECLINED,
+        event,
         Step.ADMIT,
         detail,
         retry_after=COME_BACK,
@@ -30,7 +33,10 @@
 
 
 LEFT: Final = _describe('the target has left')
-SHUNNED: Final = _describe('the target is shunned')
+SHUNNED: Final = _describe(
+    'the target is shunned',
+    EventCode.TARGET_HELD_BACK,
+)
 FULL: Final = _describe('all slots are taken')
 LATE: Final = _describe('no slot was free in time')
 
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -8,6 +8,7 @@
 from msgspec.json import Decoder, Encoder
 from tornado.httputil import HTTPHeaders
 
+from hillfield.events import EventCode
 from hillfield.model import Outcome, RequestPlan, Step
 from hillfield.proxy.dialects import (
     DEADLINE,
@@ -29,6 +30,8 @@
 )
 
 STEP: Final = 'Hillfield-Step'
+EVENT: Final = 'Hillfield-Event'
+HELD_BACK: Final = str(int(EventCode.TARGET_HELD_BACK))
 # Steps that a gate takes before the first byte goes to its target.
 BEFORE_SENDING: Final = frozenset(
     (Step.READ_REQUEST, Step.ROUTE, Step.ADMIT, Step.CONNECT),
@@ -118,7 +121,11 @@
                 return TimedOut()
             return Broken(f'{Outcome.UNKNOWN} at step {step} of the gate')
         if step in BEFORE_SENDING:
-            return Declined(f'at step {step}', read_retry_after(headers))
+            return Declined(
+                f'at step {step}',
+                read_retry_after(headers),
+                lasting=_lasts(step, headers),
+            )
         return Shed(read_retry_after(headers))
 
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
@@ -129,3 +136,11 @@
     def sends_signs(self) -> bool:
         """Tell that gates send interim answers of their own."""
         return True
+
+
+def _lasts(step: str, headers: HTTPHeaders) -> bool:
+    """Tell whether the gate will decline the next request as well.
+
+    It holds work back from its target, or serves another life of it.
+    """
+    return step == Step.ROUTE or headers.get(EVENT) == HELD_BACK
--- a/hillfield/gate/tests/test_gate.py
+++ b/hillfield/gate/tests/test_gate.py
@@ -7,7 +7,7 @@
 
 from hillfield.events import EventCode, ListJournal
 from hillfield.gate import Gate, GatePlans, HopDialect, Seat
-from hillfield.gate.admission import LONGEST_WAIT
+from hillfield.gate.admission import FULL, LONGEST_WAIT, SHUNNED
 from hillfield.gate.hop import HopOrder, write_hop
 from hillfield.gate.standing import LONGEST_SHUN
 from hillfield.model import (
@@ -292,3 +292,20 @@
     assert isinstance(dialect.read_failure(502, told), Broken)
     assert isinstance(dialect.read_failure(504, told), TimedOut)
     assert dialect.read_failure(500, HTTPHeaders()) is None
+
+
+def test_the_hop_dialect_tells_which_refusals_last():
+    """Gates that shun were asked again and again: the reason was not told."""
+    told = HTTPHeaders(
+        {
+            'Hillfield-Outcome': 'not-run',
+            'Hillfield-Step': 'admit',
+            'Hillfield-Event': str(int(FULL.event)),
+        },
+    )
+    assert not HopDialect().read_failure(503, told).lasting
+    told['Hillfield-Event'] = str(int(SHUNNED.event))
+    assert HopDialect().read_failure(503, told).lasting
+    told['Hillfield-Step'] = 'route'
+    told['Hillfield-Event'] = str(int(FULL.event))
+    assert HopDialect().read_failure(503, told).lasting
--- a/hillfield/routing/declining.py
+++ b/hillfield/routing/declining.py
@@ -5,7 +5,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Declined:
-    """The node beside the target refused: no byte went to the target."""
+    """The node beside the target refused: no byte went to the target.
+
+    `lasting` says that it will refuse the next request as well.
+    """
 
     detail: str
     retry_after: float | None = None
+    lasting: bool = False
--- a/hillfield/routing/recovery.py
+++ b/hillfield/routing/recovery.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from hillfield.model import TargetId
+from hillfield.routing.declining import Declined
 from hillfield.routing.phases import (
     AttemptAction,
     AttemptPhase,
@@ -109,7 +110,8 @@
         return refuse(service, record, describe_reading(reading))
     service.counters.retries += 1
     if not _is_patient(record, reading):
-        target = service.choose(now, excluded)
+        trial = not record.declined and service.may_follow(record)
+        target = service.choose(now, excluded, trial=trial)
         if target is not None:
             return service.send(now, record, target)
     record.follow(RequestTrigger.QUEUE)
@@ -233,5 +235,9 @@
     service.selector.note_ended(now, identity, seconds, reading.failed)
     if reading.trigger in OVERLOADED:
         service.selector.pause(now, identity)
+    if isinstance(observation, Declined) and observation.lasting:
+        service.reluctance.note(now, identity)
+    elif reading.trigger is AttemptTrigger.ANSWERED:
+        service.reluctance.forget(identity)
     if isinstance(observation, HOLDING):
         service.pace.note_departure(now, service.waiting() > 0)
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -12,6 +12,7 @@
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.queues import FairQueue
 from hillfield.routing.records import Ledger, RequestRecord
+from hillfield.routing.reluctance import Reluctance
 from hillfield.routing.requests import Refuse, Send
 from hillfield.routing.selection import Selector
 
@@ -57,6 +58,7 @@
     retries: deque[RequestRecord] = field(default_factory=deque)
     pending: list[Refuse] = field(default_factory=list)
     counters: Counters = field(default_factory=Counters)
+    reluctance: Reluctance = field(default_factory=Reluctance)
     scanned: float = 0
     barren_since: float | None = None
 
@@ -74,10 +76,20 @@
         self,
         now: float,
         excluded: tuple[TargetId, ...] = (),
+        *,
+        trial: bool = False,
     ) -> Target | None:
-        """Choose a target in the present rotation."""
+        """Choose a target in the present rotation.
+
+        A target whose gate holds work back is the last choice, but for a
+        trial, which that gate waits for.
+        """
         self.selector.adopt(self.board.rotation())
-        return self.selector.choose(now, excluded)
+        held = () if trial else self.reluctance.list_targets(now)
+        found = self.selector.choose(now, (*excluded, *held))
+        if found is None and held:
+            return self.selector.choose(now, excluded)
+        return found
 
     def choose_for_waiting(
         self,
@@ -87,7 +99,7 @@
         """Choose a target for a request that has waited."""
         self.selector.adopt(self.board.rotation())
         freed = self.selector.choose_freed(now, excluded)
-        return freed or self.selector.choose(now, excluded)
+        return freed or self.choose(now, excluded)
 
     def send(self, now: float, record: RequestRecord, target: Target) -> Send:
         """Start an attempt."""
@@ -95,7 +107,7 @@
         send = self.ledger.start(now, record, target)
         return replace(
             send,
-            trial=self._may_follow(record),
+            trial=self.may_follow(record),
             insists=_insists(now, record),
         )
 
@@ -133,7 +145,7 @@
         """Return the seconds that few attempts exceed."""
         return self.selector.latency.bound()
 
-    def _may_follow(self, record: RequestRecord) -> bool:
+    def may_follow(self, record: RequestRecord) -> bool:
         """Tell whether another attempt may follow this one if it fails."""
         plan = record.arrival.plan
         if not (plan.idempotent and record.arrival.replayable):
--- a/hillfield/routing/tests/test_declining.py
+++ b/hillfield/routing/tests/test_declining.py
@@ -14,6 +14,7 @@
 )
 from hillfield.routing import Dispatcher
 from hillfield.routing.declining import Declined
+from hillfield.routing.reluctance import REMEMBERED
 from hillfield.routing.requests import Answered, Arrival, Refuse, Send, Wait
 from hillfield.routing.service import INSISTS_AFTER, INSISTS_LATEST
 
@@ -131,3 +132,68 @@
     refused = dispatcher.poll(1.1)
     assert [type(verdict) for verdict in refused] == [Refuse]
     assert isinstance(dispatcher.admit(1.2, arrive('s')), Refuse)
+
+
+def hold_back(dispatcher, verdict, now=0):
+    dispatcher.note_written(now, verdict.attempt)
+    declined = Declined('shunned', lasting=True)
+    return dispatcher.finish(now, verdict.attempt, declined)
+
+
+def settle(dispatcher, verdict, now):
+    dispatcher.note_written(now, verdict.attempt)
+    dispatcher.finish(now, verdict.attempt, Answered(200))
+
+
+def test_a_gate_that_holds_work_back_is_not_asked_again_soon():
+    """Of 6,250 requests of a day 4,600 were declined by shunned targets."""
+    dispatcher = make_dispatcher(4)
+    first = dispatcher.admit(0, arrive('first'))
+    shunned = first.target
+    settle(dispatcher, hold_back(dispatcher, first), 0)
+    for number in range(20):
+        now = 0.5 + number / 100
+        sent = dispatcher.admit(now, arrive(f'r{number}', now=now))
+        assert sent.target != shunned
+        settle(dispatcher, sent, now)
+
+
+def test_a_gate_that_held_work_back_is_asked_again_later():
+    dispatcher = make_dispatcher(2)
+    first = dispatcher.admit(0, arrive('first'))
+    shunned = first.target
+    settle(dispatcher, hold_back(dispatcher, first), 0)
+    asked = set()
+    for number in range(40):
+        now = REMEMBERED + number / 10
+        sent = dispatcher.admit(now, arrive(f'r{number}', now=now))
+        asked.add(sent.target)
+        settle(dispatcher, sent, now)
+    assert shunned in asked
+
+
+def test_trials_go_to_a_gate_that_holds_work_back():
+    dispatcher = make_dispatcher(2)
+    rich = ServicePolicy('s', retry_burst=5)
+    dispatcher.adopt_policy(0, rich)
+    dispatcher.board.adopt_policy(0, rich)
+    first = dispatcher.admit(0, arrive('first'))
+    shunned = first.target
+    settle(dispatcher, hold_back(dispatcher, first), 0)
+    asked = set()
+    for number in range(40):
+        now = 0.5 + number / 100
+        sent = dispatcher.admit(now, arrive(f'r{number}', True, now))
+        asked.add(sent.target)
+        settle(dispatcher, sent, now)
+    assert shunned in asked
+
+
+def test_where_all_gates_hold_work_back_they_are_asked_all_the_same():
+    dispatcher = make_dispatcher(3)
+    verdict = dispatcher.admit(0, arrive('first'))
+    for _ in range(2):
+        verdict = hold_back(dispatcher, verdict)
+    hold_back(dispatcher, verdict)
+    dispatcher.leave(0, 'first')
+    assert isinstance(dispatcher.admit(1, arrive('next', now=1)), Send)
