--- a/hillfield/gate/tests/test_gate.py
+++ b/hillfield/gate/tests/test_gate.py
@@ -294,18 +294,21 @@
     assert dialect.read_failure(500, HTTPHeaders()) is None
 
 
-def test_the_hop_dialect_tells_which_refusals_last():
-    """Gates that shun were asked again and again: the reason was not told."""
+def read_decline(step, cause):
     told = HTTPHeaders(
         {
             'Hillfield-Outcome': 'not-run',
-            'Hillfield-Step': 'admit',
-            'Hillfield-Event': str(int(FULL.event)),
+            'Hillfield-Step': step,
+            'Hillfield-Event': str(int(cause.event)),
         },
     )
-    assert not HopDialect().read_failure(503, told).lasting
-    told['Hillfield-Event'] = str(int(SHUNNED.event))
-    assert HopDialect().read_failure(503, told).lasting
-    told['Hillfield-Step'] = 'route'
-    told['Hillfield-Event'] = str(int(FULL.event))
-    assert HopDialect().read_failure(503, told).lasting
+    return HopDialect().read_failure(503, told)
+
+
+def test_the_hop_dialect_tells_which_refusals_last():
+    """Gates that shun were asked again and again: the reason was not told."""
+    passing = Declined('at step admit')
+    lasting = replace(passing, lasting=True)
+    assert read_decline('admit', FULL) == passing
+    assert read_decline('admit', SHUNNED) == lasting
+    assert read_decline('route', FULL) == Declined('at step route', None, True)
