--- a/hillfield/cli/config/commands.py
+++ b/hillfield/cli/config/commands.py
@@ -31,7 +31,7 @@
 from hillfield.cli.config.status import describe_status, read_status
 from hillfield.cli.exits import ExitCode
 from hillfield.cli.options import Json, Nodes, read_nodes
-from hillfield.configuration import Authorship
+from hillfield.configuration.editing import Authorship
 from hillfield.configuration.documents.rendering import render_document
 from hillfield.configuration.editing.consistency import check_configuration
 from hillfield.configuration.editing.differences import find_differences
--- a/hillfield/cli/config/endings.py
+++ b/hillfield/cli/config/endings.py
@@ -10,7 +10,7 @@
 
 from hillfield.cli.config.reasons import explain
 from hillfield.cli.exits import ExitCode, leave, warn
-from hillfield.configuration import Applied, EditFailure
+from hillfield.configuration.editing import Applied, EditFailure
 from hillfield.configuration.editing.outcomes import (
     Contended,
     Raced,
--- a/hillfield/cli/config/listing.py
+++ b/hillfield/cli/config/listing.py
@@ -7,7 +7,7 @@
 from hillfield.cli.config.reasons import describe_moment
 from hillfield.cli.exits import ExitCode, leave
 from hillfield.cli.tables import format_table
-from hillfield.configuration import Editor
+from hillfield.configuration.editing import Editor
 from hillfield.configuration.editing.goals import Part
 from hillfield.configuration.editing.history import list_changes
 from hillfield.configuration.editing.snapshots import DecodedSnapshot
--- a/hillfield/cli/config/options.py
+++ b/hillfield/cli/config/options.py
@@ -11,7 +11,7 @@
 
 from hillfield.cli.exits import ExitCode, leave
 from hillfield.cli.options import read_option
-from hillfield.configuration import Editor
+from hillfield.configuration.editing import Editor
 from hillfield.model import parse_address
 from hillfield.settings.node import check_cluster
 from hillfield.store import OpenStore, StoreSettings
--- a/hillfield/cli/config/removal.py
+++ b/hillfield/cli/config/removal.py
@@ -15,7 +15,7 @@
     use_editor,
 )
 from hillfield.cli.options import Json
-from hillfield.configuration import Authorship
+from hillfield.configuration.editing import Authorship
 
 removal = Typer(no_args_is_help=True, help='Remove a part by its name.')
 
--- a/hillfield/cli/config/status.py
+++ b/hillfield/cli/config/status.py
@@ -9,7 +9,7 @@
 from hillfield.cli.config.reasons import describe_moment, explain
 from hillfield.cli.nodes import NodeCallError, fetch_page
 from hillfield.cli.tables import format_table
-from hillfield.configuration import Editor
+from hillfield.configuration.editing import Editor
 from hillfield.configuration.editing.history import list_changes
 from hillfield.configuration.storage.stored import Stamp
 from hillfield.control.pages import ConfigurationPage
--- a/hillfield/configuration/__init__.py
+++ b/hillfield/configuration/__init__.py
@@ -5,8 +5,6 @@
     Configuration,
     read_configuration,
 )
-from hillfield.configuration.editing.editor import Authorship, Editor
-from hillfield.configuration.editing.outcomes import Applied, EditFailure
 from hillfield.configuration.entries import Entry
 from hillfield.configuration.schema.accounts import ClientAccount, ServiceUse
 from hillfield.configuration.schema.credentials import hash_secret
@@ -34,16 +32,12 @@
     'AccountParameters',
     'Adopted',
     'Adoption',
-    'Applied',
-    'Authorship',
     'Bounds',
     'ClientAccount',
     'Configuration',
     'ConfigurationProblem',
     'ConfigurationView',
     'Digest',
-    'EditFailure',
-    'Editor',
     'Entry',
     'Idempotency',
     'Invalid',
--- a/hillfield/configuration/tests/test_examples.py
+++ b/hillfield/configuration/tests/test_examples.py
@@ -5,13 +5,12 @@
 from pathlib import Path
 
 from hillfield.configuration import (
-    Authorship,
     ConfigurationView,
-    Editor,
     Entry,
     Replica,
     read_configuration,
 )
+from hillfield.configuration.editing import Authorship, Editor
 from hillfield.emulator.store_memory import MemoryStore
 from hillfield.proxy.ports import RequestHead
 
--- a/hillfield/demo/changes.py
+++ b/hillfield/demo/changes.py
@@ -6,7 +6,8 @@
 from functools import partial
 from typing import Final
 
-from hillfield.configuration import Authorship, Configuration, Editor
+from hillfield.configuration import Configuration
+from hillfield.configuration.editing import Authorship, Editor
 from hillfield.demo.fleet import LocalFleet
 from hillfield.demo.layout import CLUSTER, HostPlan
 from hillfield.demo.observer import WHOLE
--- a/hillfield/experiments/repair/ground.py
+++ b/hillfield/experiments/repair/ground.py
@@ -5,13 +5,8 @@
 from dataclasses import replace
 from typing import Final
 
-from hillfield.configuration import (
-    Applied,
-    Authorship,
-    ClientAccount,
-    Configuration,
-    Editor,
-)
+from hillfield.configuration import ClientAccount, Configuration
+from hillfield.configuration.editing import Applied, Authorship, Editor
 from hillfield.demo.fleet import LocalFleet, PlacedTarget
 from hillfield.demo.layout import (
     CLUSTER,
--- a/hillfield/experiments/repair/scenes_operators.py
+++ b/hillfield/experiments/repair/scenes_operators.py
@@ -9,14 +9,8 @@
 
 from expression import Result
 
-from hillfield.configuration import (
-    Applied,
-    Authorship,
-    ClientAccount,
-    Configuration,
-    EditFailure,
-    Keys,
-)
+from hillfield.configuration import ClientAccount, Configuration, Keys
+from hillfield.configuration.editing import Applied, Authorship, EditFailure
 from hillfield.demo.layout import CLUSTER
 from hillfield.experiments.repair.ground import Ground
 from hillfield.experiments.repair.outcomes import Outcome, Wish
--- a/hillfield/experiments/sizing/edits.py
+++ b/hillfield/experiments/sizing/edits.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 from hillfield.configuration import (
-    Authorship,
     ClientAccount,
     Configuration,
     RouteRule,
@@ -14,6 +13,7 @@
     Template,
     hash_secret,
 )
+from hillfield.configuration.editing import Authorship
 from hillfield.experiments.sizing.rigs import OPERATOR, Rig
 
 SERVICE: Final = 'measured'
--- a/hillfield/experiments/sizing/rigs.py
+++ b/hillfield/experiments/sizing/rigs.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from hillfield.configuration import Editor
+from hillfield.configuration.editing import Editor
 from hillfield.demo.control import ControlClient
 from hillfield.demo.layout import (
     CLUSTER,
--- a/hillfield/node/tests/test_repair.py
+++ b/hillfield/node/tests/test_repair.py
@@ -10,16 +10,15 @@
 from pathlib import Path
 
 from hillfield.configuration import (
-    Authorship,
     ClientAccount,
     Configuration,
-    Editor,
     Idempotency,
     RouteRule,
     ServiceUse,
     Template,
     hash_secret,
 )
+from hillfield.configuration.editing import Authorship, Editor
 from hillfield.demo.layout import (
     CLUSTER,
     find_free,
--- a/scenarios/fleet.py
+++ b/scenarios/fleet.py
@@ -6,10 +6,10 @@
 
 from expression import Result
 
-from hillfield.configuration import (
+from hillfield.configuration import Configuration
+from hillfield.configuration.editing import (
     Applied,
     Authorship,
-    Configuration,
     EditFailure,
     Editor,
 )
--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -6,7 +6,7 @@
 from functools import partial
 from itertools import chain
 
-from hillfield.configuration import EditFailure
+from hillfield.configuration.editing import EditFailure
 from hillfield.demo.observer import WHOLE
 from hillfield.demo.waiting import wait_until
 from hillfield.emulator import (
