Give a suspected target its share until that convicts or clears it

Ruled out: the machine's speed alone (the verdict stood still with 50 requests a second at that node). Changed: between a suspected target and another the fuller loses, whatever their latencies.

--- a/hillfield/detection/records.py
+++ b/hillfield/detection/records.py
@@ -101,6 +101,7 @@
         share,
         counted=share > 0 and record.health is not Health.TRIAL,
         sickness=_find_sickness(record),
+        watched=record.health is Health.SUSPECTED,
     )
 
 
--- a/hillfield/detection/rotation.py
+++ b/hillfield/detection/rotation.py
@@ -10,10 +10,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """Offer a target; `share` (above 0, at most 1) weighs its new work."""
+    """Offer a target; `share` (above 0, at most 1) weighs its new work.
+
+    `watched`: it is suspected, so it gets its share however late it answers,
+    until that convicts or clears it.
+    """
 
     target: Target
     share: float
+    watched: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +47,7 @@
     share: float
     counted: bool
     sickness: float = 0
+    watched: bool = False
 
 
 def build_rotation(standings: tuple[Standing, ...], floor: float) -> Rotation:
@@ -87,7 +93,9 @@
         if standing.target.id in held:
             share = FULL_SHARE
         if share > 0:
-            offered.append(Candidate(standing.target, share))
+            offered.append(
+                Candidate(standing.target, share, standing.watched),
+            )
     offered.sort(key=_order_by_id)
     return tuple(offered)
 
--- a/hillfield/routing/loads.py
+++ b/hillfield/routing/loads.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Final
 
+from hillfield.detection.rotation import Candidate
 from hillfield.model import Target, TargetId
 
 LATENCY_GAIN: Final = 0.2
@@ -61,6 +62,7 @@
 
     target: Target
     share: float = 0
+    watched: bool = False
     limit: int = 1
     window: float = LARGEST_WINDOW
     hint: float = 0
@@ -71,11 +73,13 @@
     position: int = -1
     tier: 'Tier | None' = None
 
-    def adopt(self, target: Target, share: float, allowance: int) -> None:
+    def adopt(self, candidate: Candidate, allowance: int) -> None:
         """Take the target's announcement and its share of work."""
+        target = candidate.target
         self.target = target
-        self.share = share
-        slots = max(1, ceil(target.slots * share))
+        self.share = candidate.share
+        self.watched = candidate.watched
+        slots = max(1, ceil(target.slots * self.share))
         self.limit = max(1, min(slots, allowance))
         self.hint = HINT_WEIGHT * (target.load or 0) * self.limit
 
@@ -100,9 +104,12 @@
 
     def score(self, now: float, service: float) -> float:
         """Return the expected cost of one more request; less is better."""
+        return self.fill() * self.latency.factor(now, service)
+
+    def fill(self) -> float:
+        """Return the slots in use per slot, with one more request."""
         foreign = max(0, self.hint - self.in_flight)
-        busy = (self.in_flight + foreign + 1) / self.limit
-        return busy * self.latency.factor(now, service)
+        return (self.in_flight + foreign + 1) / self.limit
 
 
 class Tier:
--- a/hillfield/routing/selection.py
+++ b/hillfield/routing/selection.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from hillfield.model import Locality, Target, TargetId, TargetState
-from hillfield.detection.rotation import Rotation
+from hillfield.detection.rotation import Candidate, Rotation
 from hillfield.routing.loads import FAILURE_FACTOR, Latency, TargetLoad, Tier
 from hillfield.routing.pauses import Pauses
 
@@ -55,7 +55,7 @@
             load.leave_tier()
         self.loads = kept
         for candidate in rotation.candidates:
-            self._enter(candidate.target, candidate.share)
+            self._enter(candidate)
         self.capacity = sum(tier.capacity for tier in self._tiers)
 
     def has_other(self, excluded: tuple[TargetId, ...]) -> bool:
@@ -146,7 +146,8 @@
         if load is not None:
             self.pauses.begin(now, load, self.latency.mean)
 
-    def _enter(self, target: Target, share: float) -> None:
+    def _enter(self, candidate: Candidate) -> None:
+        target = candidate.target
         if target.state is TargetState.DRAINING:
             return
         load = self.loads.get(target.id)
@@ -154,7 +155,7 @@
             load = TargetLoad(target)
             self.loads[target.id] = load
         allowance = self._allowances.get(target.id, target.slots)
-        load.adopt(target, share, allowance)
+        load.adopt(candidate, allowance)
         tier = self._tiers[_rank(self._locality, target.locality)]
         load.tier = tier
         tier.capacity += load.limit
@@ -183,6 +184,10 @@
         second = tier.pick(self._random, (*excluded, first.target.id))
         if second is None:
             return first
+        if first.watched or second.watched:
+            # A suspected target is not left alone for its latency: what
+            # nobody asks can neither be convicted nor cleared.
+            return second if second.fill() < first.fill() else first
         mean = self.latency.mean
         better = second.score(now, mean) < first.score(now, mean)
         return second if better else first
