Don't blame a target for errors while calls of its host fail

Ruled out: cold targets (3 s only); late starts (all nodes were up at 33.5 s). Changed: an error does not count against a target if a request of its host to another service was told a failure while the target worked on it. Test that failed first: test_errors_of_calls_that_failed_shun_nobody.

--- a/hillfield/gate/completion.py
+++ b/hillfield/gate/completion.py
@@ -37,7 +37,8 @@
     state.ledger.close(attempt)
     state.standing.end()
     if not attempt.hung:
-        state.judge(now, attempt.target, read_ending(observation))
+        ending = _judge_ending(state, attempt, observation)
+        state.judge(now, attempt.target, ending)
     if reading.trigger is AttemptTrigger.ANSWERED:
         state.latency.note(now, now - attempt.started)
     if record.has_ended():
@@ -54,6 +55,20 @@
     return state.refuse(record, describe_reading(reading))
 
 
+def _judge_ending(
+    state: GateState,
+    attempt: AttemptRecord,
+    observation: Observation,
+) -> Ending:
+    """Return what an end says of the target, whose calls may have failed."""
+    ending = read_ending(observation)
+    service = attempt.target.id.service
+    excused = state.calls.excuse(attempt.started, service)
+    if ending is Ending.FAILED and excused:
+        return Ending.SILENT
+    return ending
+
+
 def count_hung(state: GateState, now: float) -> None:
     """Count requests that have waited for an answer far too long."""
     limit = find_hang_limit(state)
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -7,6 +7,7 @@
 
 from hillfield.events import EventCode, Journal
 from hillfield.gate.admission import admit, serve_queue
+from hillfield.gate.calls import FailedCalls
 from hillfield.gate.completion import count_hung, finish
 from hillfield.gate.notes import GateNotes
 from hillfield.gate.seat import Seat
@@ -37,6 +38,11 @@
         """Return the life of the target that is served."""
         return self._state.seat
 
+    @property
+    def calls(self) -> FailedCalls:
+        """Return where failed requests of this host are noted."""
+        return self._state.calls
+
     def take_seat(self, seat: Seat | None) -> None:
         """Take the present life of the target; None: it is gone or leaves."""
         state = self._state
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hillfield.events import EventCode, Journal, Occurrence
+from hillfield.gate.calls import FailedCalls
 from hillfield.gate.queue import GateQueue
 from hillfield.gate.seat import Seat
 from hillfield.gate.standing import Ending, Standing
@@ -23,6 +24,7 @@
     ledger: Ledger = field(default_factory=Ledger)
     queue: GateQueue = field(default_factory=GateQueue)
     latency: Latency = field(default_factory=Latency)
+    calls: FailedCalls = field(default_factory=FailedCalls)
 
     @property
     def target(self) -> Target | None:
--- a/hillfield/gate/tests/test_gate.py
+++ b/hillfield/gate/tests/test_gate.py
@@ -123,6 +123,27 @@
     assert verdict.failure.outcome is Outcome.NOT_RUN
 
 
+def test_errors_of_calls_that_failed_shun_nobody(gate):
+    """After a loss of power all terminal gateways were shunned in turn.
+
+    Their lookups call a service that was overloaded, and so they failed.
+    """
+    for number in range(10):
+        now = float(number)
+        sent = gate.admit(now, arrive(f'r{number}', now))
+        gate.calls.note(now + 0.1, 'fees')
+        gate.finish(now + 0.2, sent.attempt, Answered(500))
+    assert isinstance(gate.admit(10, arrive('next', 10)), Send)
+
+
+def test_errors_count_where_only_the_own_service_fails(gate):
+    for number in range(2):
+        sent = gate.admit(number, arrive(f'r{number}', number))
+        gate.calls.note(number + 0.1, 'refunds')
+        gate.finish(number + 0.2, sent.attempt, Answered(500))
+    assert isinstance(gate.admit(3, arrive('next', 3)), Refuse)
+
+
 def test_requests_that_hang_shun_the_target_before_they_end(gate):
     first = gate.admit(0, arrive('a'))
     gate.finish(0.1, first.attempt, Answered(200))
--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -14,7 +14,7 @@
 from hillfield.node.desk import ServiceDesk
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts, Recording
-from hillfield.proxy import ProxyServer, ProxySettings
+from hillfield.proxy import ProxyServer, ProxySettings, RequestMeter
 from hillfield.routing import DispatcherTable
 from hillfield.settings import NodeSettings
 from hillfield.store import OpenStore
@@ -52,8 +52,12 @@
     settings: NodeSettings,
     recording: Recording,
     fittings: Fittings,
+    meter: RequestMeter,
 ) -> Parts:
-    """Build all parts of a gated node; nothing is opened yet."""
+    """Build all parts of a gated node; nothing is opened yet.
+
+    `meter` is told of the requests of this host's callers.
+    """
     planner = fittings.planner
     journal = recording.journal
     table = DispatcherTable(settings.locality, PathBoard, Random())
@@ -73,7 +77,7 @@
             planner,
             desk,
             journal,
-            recording.metrics,
+            meter,
         ),
         store=fittings.store,
     )
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -16,6 +16,7 @@
 from hillfield.gate.seating import Seating
 from hillfield.hostroutes import RouteTable
 from hillfield.model import Address
+from hillfield.node.calls import CallMeter
 from hillfield.node.fittings import Fittings, make_gated_parts
 from hillfield.node.node import Node, NodeError
 from hillfield.node.parts import Recording
@@ -64,9 +65,10 @@
         fittings: Fittings,
     ) -> None:
         """Build the parts; nothing is opened before `start`."""
-        parts = make_gated_parts(settings, recording, fittings)
-        super().__init__(settings, parts=parts)
         self.gate = Gate(recording.journal)
+        meter = CallMeter(recording.metrics, self.gate.calls)
+        parts = make_gated_parts(settings, recording, fittings, meter)
+        super().__init__(settings, parts=parts)
         self.seating = Seating(parts.registry, self.gate)
         self._fittings = fittings
         self._hops = ProxyServer(
