Ask three gates of other failure domains at once, then one each 0.1 s

Ruled out: statements between nodes (1.8 MB), heartbeats (0.5), answers (3.6). Changed: a request that three gates of other domains have declined asks those of its own domain, and one more of the others for each 0.1 s since it began. Weighed: sending the head before the body; it needs a turn more for each request and a second state at the gate. Test that failed first: test_few_gates_of_other_domains_are_asked_at_once.

--- a/hillfield/routing/loads.py
+++ b/hillfield/routing/loads.py
@@ -55,14 +55,16 @@
 class TargetLoad:
     """Hold one target's requests in flight from this node and its pace.
 
-    `limit` bounds the requests in flight, `hint` is the target's own report
-    in slots, `window` the requests in flight that it has borne (additive
-    increase, multiplicative decrease), `position` its place among the free targets of its tier.
+    `near` says that it is in this failure domain, `limit` bounds the requests
+    in flight, `hint` is the target's own report in slots, `window` the
+    requests in flight that it has borne (additive increase, multiplicative
+    decrease), `position` its place among the free targets of its tier.
     """
 
     target: Target
     share: float = 0
     watched: bool = False
+    near: bool = True
     limit: int = 1
     window: float = LARGEST_WINDOW
     hint: float = 0
--- a/hillfield/routing/recovery.py
+++ b/hillfield/routing/recovery.py
@@ -26,6 +26,7 @@
     Verdict,
     Wait,
 )
+from hillfield.routing.reselection import choose_again
 from hillfield.routing.service import Service
 
 OVERLOADED: Final = frozenset(
@@ -110,8 +111,7 @@
         return refuse(service, record, describe_reading(reading))
     service.counters.retries += 1
     if not _is_patient(record, reading):
-        trial = service.is_trial(record)
-        target = service.choose(now, excluded, trial=trial)
+        target = choose_again(service, now, record, excluded)
         if target is not None:
             return service.send(now, record, target)
     record.follow(RequestTrigger.QUEUE)
@@ -181,7 +181,8 @@
     if _is_patient(record, reading) and now < record.queued_at + patience:
         target = service.selector.choose_freed(now, excluded)
     else:
-        target = service.choose_for_waiting(now, excluded)
+        freed = service.selector.choose_freed(now, excluded)
+        target = freed or choose_again(service, now, record, excluded)
     return None if target is None else service.send(now, record, target)
 
 
--- /dev/null
+++ b/hillfield/routing/reselection.py
@@ -0,0 +1,41 @@
+"""Choose the next target of a request that has been at others."""
+
+from typing import Final
+
+from hillfield.model import Target, TargetId
+from hillfield.routing.records import RequestRecord
+from hillfield.routing.service import Service
+
+# Gates of other failure domains that a request asks at once, and the seconds
+# after which it asks one more: where all are full the answer is the same.
+# On an overloaded day of 31 hosts 8,300 of 9,500 requests sent across were
+# declined, at 3.4 kB each (bench).
+FAR_AT_ONCE: Final = 3
+FAR_EVERY: Final = 0.1
+
+
+def choose_again(
+    service: Service,
+    now: float,
+    record: RequestRecord,
+    excluded: tuple[TargetId, ...],
+) -> Target | None:
+    """Choose a target that is not excluded, or one nearby once more.
+
+    Each gate of another failure domain that declines costs the bytes of the
+    request across, so after a few they are asked one by one.
+    """
+    if _count_far(service, record) >= _find_allowance(now, record):
+        return service.choose(now, record.tried[-1:], near=True)
+    return service.choose(now, excluded, trial=service.is_trial(record))
+
+
+def _count_far(service: Service, record: RequestRecord) -> int:
+    loads = service.selector.loads
+    return sum(
+        target in loads and not loads[target].near for target in record.declined
+    )
+
+
+def _find_allowance(now: float, record: RequestRecord) -> int:
+    return FAR_AT_ONCE + int((now - record.began) / FAR_EVERY)
--- a/hillfield/routing/selection.py
+++ b/hillfield/routing/selection.py
@@ -88,10 +88,16 @@
         self,
         now: float,
         excluded: tuple[TargetId, ...] = (),
+        *,
+        near: bool = False,
     ) -> Target | None:
-        """Return the target for an attempt, or None when none is free."""
+        """Return the target for an attempt, or None when none is free.
+
+        `near` leaves out those of other failure domains.
+        """
         self.pauses.end(now)
-        for tier in self._ordered_tiers():
+        tiers = self._tiers[:1] if near else self._ordered_tiers()
+        for tier in tiers:
             found = self._choose_within(now, tier, excluded)
             if found is not None:
                 return found.target
@@ -156,7 +162,9 @@
             self.loads[target.id] = load
         allowance = self._allowances.get(target.id, target.slots)
         load.adopt(candidate, allowance)
-        tier = self._tiers[_rank(self._locality, target.locality)]
+        rank = _rank(self._locality, target.locality)
+        load.near = not rank
+        tier = self._tiers[rank]
         load.tier = tier
         tier.capacity += load.limit
         tier.busy += load.in_flight + load.hint
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -82,6 +82,7 @@
         excluded: tuple[TargetId, ...] = (),
         *,
         trial: bool = False,
+        near: bool = False,
     ) -> Target | None:
         """Choose a target in the present rotation.
 
@@ -90,9 +91,9 @@
         """
         self.selector.adopt(self.board.rotation())
         held = () if trial else self.reluctance.list_targets(now)
-        found = self.selector.choose(now, (*excluded, *held))
+        found = self.selector.choose(now, (*excluded, *held), near=near)
         if found is None and held:
-            return self.selector.choose(now, excluded)
+            return self.selector.choose(now, excluded, near=near)
         return found
 
     def choose_for_waiting(
--- a/hillfield/routing/tests/test_declining.py
+++ b/hillfield/routing/tests/test_declining.py
@@ -16,6 +16,7 @@
 from hillfield.routing.declining import Declined
 from hillfield.routing.reluctance import REMEMBERED
 from hillfield.routing.requests import Answered, Arrival, Refuse, Send, Wait
+from hillfield.routing.reselection import FAR_AT_ONCE, FAR_EVERY
 from hillfield.routing.service import (
     INSISTS_AFTER,
     INSISTS_LATEST,
@@ -231,3 +232,30 @@
     hold_back(dispatcher, verdict)
     dispatcher.leave(0, 'first')
     assert isinstance(dispatcher.admit(1, arrive('next', now=1)), Send)
+
+
+def test_few_gates_of_other_domains_are_asked_at_once():
+    """Of 9,500 requests sent to other domains 8,300 were declined there."""
+    far = tuple(
+        replace(target, locality=Locality('r', 'b', 'h'))
+        for target in make_targets(10)
+    )
+    dispatcher = make_dispatcher()
+    dispatcher.adopt_targets(0, far)
+    verdict = dispatcher.admit(0, arrive('r'))
+    asked = 0
+    while isinstance(verdict, Send):
+        asked += 1
+        verdict = decline(dispatcher, verdict)
+    assert asked == FAR_AT_ONCE
+    assert isinstance(verdict, Wait)
+    assert not dispatcher.poll(FAR_EVERY / 2)
+    assert isinstance(dispatcher.poll(1.1 * FAR_EVERY)[0], Send)
+
+
+def test_gates_of_the_own_domain_are_asked_on():
+    dispatcher = make_dispatcher()
+    verdict = dispatcher.admit(0, arrive('r'))
+    for _ in range(2 * FAR_AT_ONCE):
+        verdict = decline(dispatcher, verdict)
+        assert isinstance(verdict, Send)
