--- a/hillfield/fleet/state.py
+++ b/hillfield/fleet/state.py
@@ -89,7 +89,9 @@
         )
         core.own.published = -inf
         membership.publish_record(core, now)
-        flushed = core.outbox.take(now + core.settings.dear_flush_after)
+        settings = core.settings
+        wait = max(settings.flush_after, settings.dear_flush_after)
+        flushed = core.outbox.take(now + wait)
         for link in core.links:
             upkeep.close(core, link)
         return flushed + core.outbox.take(now)
