--- a/hillfield/gate/tests/test_fuzz.py
+++ b/hillfield/gate/tests/test_fuzz.py
@@ -92,7 +92,8 @@
 
     @property
     def key(self):
-        return f'{self.send.request}/{self.send.attempt}'
+        send = self.send
+        return f'{send.request}/{send.attempt}'
 
 
 class Fleet(RuleBasedStateMachine):
