Hold the ports of a local host until all are found

A port that was found and given back was found again for the next listener. Ruled out: a port of another process (the two addresses are in one settings file). Test that failed first: test_a_host_never_gets_one_port_twice.

--- a/hillfield/demo/layout.py
+++ b/hillfield/demo/layout.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+from contextlib import ExitStack
 from dataclasses import dataclass
 from importlib.resources import files
 from socket import socket
@@ -17,6 +18,8 @@
 # Hosts get 127.<process>.<process>.<number>, so that two trials on one
 # machine don't meet.
 FIRST_HOST: Final = 11
+# For callers, control and links.
+ADDRESSES_OF_NODE: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,9 +82,21 @@
 
 def find_free(ip: str) -> Address:
     """Return a port that was free a moment ago."""
-    with socket() as probe:
-        probe.bind((ip, 0))
-        return Address(ip, probe.getsockname()[1])
+    return find_several_free(ip, 1)[0]
+
+
+def find_several_free(ip: str, count: int) -> tuple[Address, ...]:
+    """Return ports that were free a moment ago, each another one.
+
+    They are held until all are found: a port that is given back may be the
+    next one to be found.
+    """
+    with ExitStack() as held:
+        probes = [held.enter_context(socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((ip, 0))
+        ports = [bound.getsockname()[1] for bound in probes]
+        return tuple(Address(ip, port) for port in ports)
 
 
 def render_settings(layout: Layout, host: HostPlan) -> str:
@@ -120,7 +135,5 @@
     return HostPlan(
         f'node-{number}',
         Locality('home', f'domain-{domain}', f'host-{number}'),
-        find_free(ip),
-        find_free(ip),
-        find_free(ip),
+        *find_several_free(ip, ADDRESSES_OF_NODE),
     )
