Send lookups and calls a second time after what few of their route exceed

Cause: targets take requests and never answer them while their health is good. Routes of the platform set no delay for a second attempt, so none was ever sent.

Now the delay is the quantile of the route's own durations, within parts of the time in which an answer is worth most; attempts cut short count, else it would fall with each hedge. A second attempt that a gate declines goes on to another: it was lost before.

Ruled out: a fixed delay (calls and lookups differ by a factor of five).

--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -13,7 +13,7 @@
 from hillfield.gate.seat import Seat
 from hillfield.gate.standing import Standing
 from hillfield.gate.state import GateState
-from hillfield.model import TargetState
+from hillfield.model import RequestPlan, TargetState
 from hillfield.routing.loads import Latency
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.requests import (
@@ -83,6 +83,9 @@
             return Done('')
         return finish(self._state, now, found, observation)
 
+    def find_hedge_delay(self, plan: RequestPlan) -> None:
+        """Name no delay: there is one target here."""
+
     def hedge(self, now: float, request: str) -> Send | None:
         """Send nothing: there is one target here."""
 
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -145,6 +145,7 @@
             checks=checks,
             priority=route.priority,
             origin=settings.origin,
+            aim=route.aim,
         )
 
     def _record(self, code: EventCode, detail: str) -> None:
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -26,7 +26,8 @@
 
     `priority` ranks requests that wait (0 goes first), `origin` is the
     service on whose host the request began (empty: not known), `trial`,
-    `insists` and `presses` what the node where it began says of this attempt.
+    `insists` and `presses` what the node where it began says of this attempt,
+    `aim` the time in which an answer is worth most (0: not known).
     """
 
     service: str
@@ -42,6 +43,7 @@
     trial: bool = False
     insists: bool = False
     presses: bool = False
+    aim: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -1,6 +1,7 @@
 """Attempts of one request that are in flight."""
 
 from asyncio import Task, TimerHandle, create_task, get_running_loop
+from functools import partial
 from time import monotonic
 
 from hillfield.events import EventCode, Occurrence
@@ -54,7 +55,7 @@
         self._tasks: set[Task[None]] = set()
 
     def launch(self, send: Send, owner: AttemptOwner) -> None:
-        """Start an attempt, and time a hedge for the first one."""
+        """Start an attempt, and time a second one beside it."""
         attempt = Attempt(send, self._order, self._tools, owner)
         self.attempts[send.attempt] = attempt
         if self._reason:
@@ -63,15 +64,8 @@
         task = create_task(attempt.run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        hedge_after = self._order.plan.hedge_after
-        if hedge_after is None or self._hedge_timer is not None:
-            return
         if not self._order.body.streamed:
-            self._hedge_timer = get_running_loop().call_later(
-                hedge_after,
-                self._hedge,
-                owner,
-            )
+            self._time_hedge(owner)
 
     def finish(self, attempt: Attempt, observation: Observation) -> Verdict:
         """Report the end of an attempt."""
@@ -119,6 +113,19 @@
             ),
         )
 
+    def _time_hedge(self, owner: AttemptOwner) -> None:
+        delay = self._dispatching.find_hedge_delay(self._order.plan)
+        if delay is None:
+            return
+        if self._hedge_timer is not None:
+            self._hedge_timer.cancel()
+        self._hedge_timer = get_running_loop().call_later(
+            delay,
+            run_guarded,
+            partial(self._hedge, owner),
+            owner.note_stray,
+        )
+
     def _hedge(self, owner: AttemptOwner) -> None:
         heads = [
             attempt.answer.start_line.code for attempt in self.attempts.values()
--- a/hillfield/proxy/tests/conftest.py
+++ b/hillfield/proxy/tests/conftest.py
@@ -96,6 +96,9 @@
     def refuse_wrongly(self, request):
         return Refuse(request, None)
 
+    def find_hedge_delay(self, plan):
+        return plan.hedge_after
+
     def hedge(self, now, request):
         return self.send(request, 1) if self.hedging else None
 
--- a/hillfield/routing/baseline.py
+++ b/hillfield/routing/baseline.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from hillfield.events import EventCode, Occurrence
-from hillfield.model import Step, Target
+from hillfield.model import RequestPlan, Step, Target
 from hillfield.routing.dispatcher import Dispatcher
 from hillfield.routing.phases import AttemptAction, RequestTrigger
 from hillfield.routing.readings import read_observation
@@ -65,6 +65,9 @@
             return self._send(now, record)
         return refuse(self._service, record, describe_reading(reading))
 
+    def find_hedge_delay(self, plan: RequestPlan) -> None:
+        """Name no delay: nothing is sent twice at once."""
+
     def hedge(self, now: float, request: str) -> Send | None:
         """Never hedge."""
 
--- a/hillfield/routing/dispatcher.py
+++ b/hillfield/routing/dispatcher.py
@@ -7,21 +7,19 @@
 from hillfield.model import Locality, ServicePolicy, Target
 from hillfield.routing.admission import admit, serve_queue
 from hillfield.routing.explanations import RoutingExplanation, explain_service
-from hillfield.routing.hedging import hedge
-from hillfield.routing.notes import AttemptNotes
+from hillfield.routing.hedges import Hedges
 from hillfield.routing.recovery import finish, serve_retries
 from hillfield.routing.requests import (
     Arrival,
     Done,
     Observation,
-    Send,
     Verdict,
 )
 from hillfield.routing.service import open_service
 from hillfield.routing.subsets import allow_connections, choose_subset
 
 
-class Dispatcher(AttemptNotes):
+class Dispatcher(Hedges):
     """Decide admission, target, retries, hedges and what callers are told."""
 
     def __init__(
@@ -88,13 +86,6 @@
             return Done('')
         return finish(self._service, now, found, observation)
 
-    def hedge(self, now: float, request: str) -> Send | None:
-        """Start a second attempt of a slow request, if the budget allows."""
-        record = self._service.ledger.requests.get(request)
-        if record is None:
-            return None
-        return hedge(self._service, now, record)
-
     def leave(self, now: float, request: str) -> None:
         """Forget a request whose caller went away."""
         self._service.forget(request)
--- a/hillfield/routing/hedging.py
+++ b/hillfield/routing/hedging.py
@@ -1,15 +1,46 @@
-"""Second attempts of slow lookups, while the first still runs."""
+"""Second attempts of slow lookups, while the first still runs.
+
+They answer the load of targets that take a request and never answer it
+while their health is good: no connection breaks, so that only time tells.
+A call that hangs costs the work that waits for it as well.
+"""
 
 from typing import Final
 
+from hillfield.model import RequestPlan
 from hillfield.routing.phases import RequestPhase
 from hillfield.routing.records import RequestRecord
 from hillfield.routing.requests import Send
+from hillfield.routing.reselection import choose_again
 from hillfield.routing.service import Service
 
 SENT_PHASES: Final = frozenset(
     (RequestPhase.SENT, RequestPhase.SENT_DOUBTFUL),
 )
+# Parts of the time in which an answer is worth most: what an attempt may take
+# before a second one while nothing has been measured, and the bounds of what
+# is measured. Later than the latest, a second attempt of usual length would
+# come too late; sooner than the soonest, too many well requests are repeated.
+FIRST_PART: Final = 0.5
+LATEST_PART: Final = 0.55
+SOONEST_PART: Final = 0.25
+
+
+def find_delay(service: Service, plan: RequestPlan) -> float | None:
+    """Return the seconds from an attempt to a second one; None: never.
+
+    A plan may name them; otherwise they are what few requests of the route
+    exceed, within parts of the time in which an answer is worth most.
+    """
+    if plan.hedge_after is not None:
+        return plan.hedge_after
+    if not (plan.aim and plan.idempotent):
+        return None
+    measured = service.durations.find(plan.route)
+    if not measured:
+        return FIRST_PART * plan.aim
+    soonest = SOONEST_PART * plan.aim
+    return min(LATEST_PART * plan.aim, max(soonest, measured))
 
 
 def hedge(service: Service, now: float, record: RequestRecord) -> Send | None:
@@ -28,10 +59,22 @@
     return service.send(now, record, target)
 
 
+def hedge_again(
+    service: Service,
+    now: float,
+    record: RequestRecord,
+) -> Send | None:
+    """Send an attempt that a gate has declined on, while another lives."""
+    if not (_may_hedge(record) and record.may_try_again()):
+        return None
+    target = choose_again(service, now, record, record.tried)
+    return None if target is None else service.send(now, record, target)
+
+
 def _may_hedge(record: RequestRecord) -> bool:
     plan = record.arrival.plan
     if record.phase not in SENT_PHASES or len(record.live) != 1:
         return False
-    if len(record.tried) >= plan.maximum_attempts:
+    if record.sent >= plan.maximum_attempts:
         return False
     return plan.idempotent and record.arrival.replayable
--- a/hillfield/routing/ports.py
+++ b/hillfield/routing/ports.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from hillfield.model import RequestPlan
 from hillfield.routing.requests import Arrival, Observation, Send, Verdict
 
 
@@ -28,6 +29,9 @@
     ) -> Verdict:
         """End an attempt and decide what becomes of its request."""
 
+    def find_hedge_delay(self, plan: RequestPlan) -> float | None:
+        """Return the seconds from an attempt to a second one; None: never."""
+
     def hedge(self, now: float, request: str) -> Send | None:
         """Start a second attempt of a slow request, if the budget allows."""
 
--- a/hillfield/routing/recovery.py
+++ b/hillfield/routing/recovery.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from hillfield.model import TargetId
-from hillfield.routing.declining import Declined
+from hillfield.routing.hedging import hedge_again
 from hillfield.routing.phases import (
     AttemptAction,
     AttemptPhase,
@@ -18,24 +18,15 @@
     refuse,
 )
 from hillfield.routing.requests import (
-    Answered,
-    Broken,
     Done,
     Observation,
-    TimedOut,
     Verdict,
     Wait,
 )
 from hillfield.routing.reselection import choose_again
 from hillfield.routing.service import Service
+from hillfield.routing.telling import tell_ending
 
-OVERLOADED: Final = frozenset(
-    (
-        AttemptTrigger.DECLINED,
-        AttemptTrigger.SHED,
-        AttemptTrigger.TIMED_OUT,
-    ),
-)
 UNSENT: Final = frozenset(
     (
         AttemptTrigger.CONNECT_FAILED,
@@ -44,7 +35,6 @@
     ),
 )
 PATIENCE: Final = 2.0
-HOLDING = (Answered, Broken, TimedOut)
 DOUBTFUL: Final = frozenset((AttemptAction.DOUBT, AttemptAction.ABANDON))
 
 
@@ -60,7 +50,7 @@
     written = attempt.phase is not AttemptPhase.CONNECTING
     action = attempt.follow(reading.trigger)
     service.ledger.close(attempt)
-    _tell_selector(service, now, attempt, reading, observation)
+    tell_ending(service, now, attempt, reading, observation)
     service.board.observe(now, attempt.target.id, attempt.number, observation)
     if record.has_ended():
         return Done(record.arrival.request)
@@ -87,7 +77,10 @@
 ) -> Verdict:
     if record.live:
         # The other attempt may still bring the answer.
-        return Wait(record.arrival.request)
+        again = None
+        if reading.trigger is AttemptTrigger.DECLINED:
+            again = hedge_again(service, now, record)
+        return again or Wait(record.arrival.request)
     if record.consumed and not record.arrival.replayable:
         return refuse(service, record, describe_reading(reading))
     return recover(service, now, record, reading)
@@ -220,25 +213,3 @@
     if not record.live:
         service.ledger.end(record, RequestTrigger.LEAVE)
     return Done(record.arrival.request)
-
-
-def _tell_selector(
-    service: Service,
-    now: float,
-    attempt: AttemptRecord,
-    reading: Reading,
-    observation: Observation,
-) -> None:
-    seconds = None
-    if reading.failed or reading.trigger is AttemptTrigger.ANSWERED:
-        seconds = now - attempt.started
-    identity = attempt.target.id
-    service.selector.note_ended(now, identity, seconds, reading.failed)
-    if reading.trigger in OVERLOADED:
-        service.selector.pause(now, identity)
-    if isinstance(observation, Declined) and observation.lasting:
-        service.reluctance.note(now, identity)
-    elif reading.trigger is AttemptTrigger.ANSWERED:
-        service.reluctance.forget(identity)
-    if isinstance(observation, HOLDING):
-        service.pace.note_departure(now, service.waiting() > 0)
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -7,6 +7,7 @@
 
 from hillfield.model import Locality, ServicePolicy, Target, TargetId
 from hillfield.detection.boards import Board
+from hillfield.routing.durations import Durations
 from hillfield.routing.budgets import RateLimiter, RetryBudget
 from hillfield.routing.pace import Pace
 from hillfield.routing.phases import RequestTrigger
@@ -63,6 +64,7 @@
     pending: list[Refuse] = field(default_factory=list)
     counters: Counters = field(default_factory=Counters)
     reluctance: Reluctance = field(default_factory=Reluctance)
+    durations: Durations = field(default_factory=Durations)
     scanned: float = 0
     barren_since: float | None = None
 
--- /dev/null
+++ b/hillfield/routing/telling.py
@@ -0,0 +1,65 @@
+"""What is learnt of targets and routes when an attempt ends."""
+
+from typing import Final
+
+from hillfield.routing.declining import Declined
+from hillfield.routing.phases import AttemptTrigger
+from hillfield.routing.readings import Reading
+from hillfield.routing.records import AttemptRecord
+from hillfield.routing.requests import (
+    Answered,
+    Broken,
+    Observation,
+    TimedOut,
+)
+from hillfield.routing.service import Service
+
+OVERLOADED: Final = frozenset(
+    (
+        AttemptTrigger.DECLINED,
+        AttemptTrigger.SHED,
+        AttemptTrigger.TIMED_OUT,
+    ),
+)
+TIMED: Final = frozenset((AttemptTrigger.ANSWERED, AttemptTrigger.GONE))
+HOLDING = (Answered, Broken, TimedOut)
+
+
+def tell_ending(
+    service: Service,
+    now: float,
+    attempt: AttemptRecord,
+    reading: Reading,
+    observation: Observation,
+) -> None:
+    """Tell what is kept of targets and routes how an attempt ended."""
+    seconds = None
+    if reading.failed or reading.trigger is AttemptTrigger.ANSWERED:
+        seconds = now - attempt.started
+    identity = attempt.target.id
+    _note_duration(service, now, attempt, reading)
+    service.selector.note_ended(now, identity, seconds, reading.failed)
+    if reading.trigger in OVERLOADED:
+        service.selector.pause(now, identity)
+    if isinstance(observation, Declined) and observation.lasting:
+        service.reluctance.note(now, identity)
+    elif reading.trigger is AttemptTrigger.ANSWERED:
+        service.reluctance.forget(identity)
+    if isinstance(observation, HOLDING):
+        service.pace.note_departure(now, service.waiting() > 0)
+
+
+def _note_duration(
+    service: Service,
+    now: float,
+    attempt: AttemptRecord,
+    reading: Reading,
+) -> None:
+    """Note how long an attempt took, or had taken when another won.
+
+    Without those cut short the durations would fall with each hedge, and
+    hedges come ever sooner.
+    """
+    if reading.trigger in TIMED:
+        route = attempt.record.arrival.plan.route
+        service.durations.note(now, route, now - attempt.started)
