Count the ages of running requests as evidence, route by route

Cause: a target that hangs was judged by one limit of four times the mean of all its requests, after two of them: some 2 s for work of 0.4 s. With second attempts the loser is cut long before, and nothing was counted.

The gate now keeps a log-normal estimate for each route and counts each request without an answer by how few of its route take so long; work that runs once goes elsewhere while a target is merely suspected. Which targets a request takes is one value (Urgency) instead of two flags copied through three records.

Ruled out: probes (health is good all the while), and one limit a service.

--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -5,7 +5,8 @@
 
 from hillfield.events import EventCode
 from hillfield.gate.state import GateState
-from hillfield.model import Step, Target
+from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
+from hillfield.model import Step, Target, Urgency
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.records import RequestRecord
 from hillfield.routing.refusals import Cause
@@ -37,6 +38,7 @@
     'the target is shunned',
     EventCode.TARGET_HELD_BACK,
 )
+DOUBTED: Final = _describe('the target is suspected')
 FULL: Final = _describe('all slots are taken')
 LATE: Final = _describe('no slot was free in time')
 
@@ -47,8 +49,9 @@
     target = state.target
     if target is None:
         return state.refuse(record, LEFT)
-    if not _is_admitted(state, now, record):
-        return state.refuse(record, SHUNNED)
+    cause = _find_doubt(state, now, record)
+    if cause is not None:
+        return state.refuse(record, cause)
     if state.in_flight < target.slots and not len(state.queue):
         return state.send(now, record, target)
     return _wait(state, now, record, target)
@@ -80,17 +83,24 @@
     record: RequestRecord,
     target: Target,
 ) -> Verdict:
-    if _is_admitted(state, now, record):
+    cause = _find_doubt(state, now, record)
+    if cause is None:
         return state.send(now, record, target)
-    return state.refuse(record, SHUNNED)
+    return state.refuse(record, cause)
 
 
-def _is_admitted(
+def _find_doubt(
     state: GateState,
     now: float,
     record: RequestRecord,
-) -> bool:
-    return state.standing.admits(now, record.arrival.plan)
+) -> Cause | None:
+    """Return why the target should not get the request now, if so."""
+    plan = record.arrival.plan
+    if not state.standing.admits(now, plan):
+        return SHUNNED
+    if plan.idempotent or plan.urgency >= Urgency.SETTLES:
+        return None
+    return DOUBTED if weigh_running(state, now) > DOUBT_SCORE else None
 
 
 def _wait(
--- a/hillfield/gate/completion.py
+++ b/hillfield/gate/completion.py
@@ -5,6 +5,11 @@
 from hillfield.gate.endings import read_ending
 from hillfield.gate.standing import Ending
 from hillfield.gate.state import GateState
+from hillfield.gate.suspicion import (
+    LATE_SHARE,
+    count_unanswered,
+    find_share,
+)
 from hillfield.routing.phases import (
     AttemptAction,
     AttemptTrigger,
@@ -16,12 +21,6 @@
 from hillfield.routing.requests import Done, Observation, Verdict
 
 DOUBTFUL: Final = frozenset((AttemptAction.DOUBT, AttemptAction.ABANDON))
-# A request hangs after so many times the usual seconds of its target, but no
-# sooner than so many seconds above them: targets turn five times as slow at
-# times and still answer. Before any answer the limit is that of a cold one.
-HANG_FACTOR: Final = 4.0
-LEAST_HANG: Final = 0.5
-FIRST_HANG: Final = 2.0
 
 
 def finish(
@@ -37,10 +36,9 @@
     state.ledger.close(attempt)
     state.standing.end()
     if not attempt.hung:
-        ending = _judge_ending(state, attempt, observation)
-        state.judge(now, attempt.target, ending)
+        _judge_end(state, now, attempt, observation)
     if reading.trigger is AttemptTrigger.ANSWERED:
-        state.latency.note(now, now - attempt.started)
+        state.note_answered(now, attempt)
     if record.has_ended():
         return Done(record.arrival.request)
     if action is AttemptAction.SETTLE:
@@ -55,33 +53,34 @@
     return state.refuse(record, describe_reading(reading))
 
 
-def _judge_ending(
+def _judge_end(
     state: GateState,
+    now: float,
     attempt: AttemptRecord,
     observation: Observation,
-) -> Ending:
-    """Return what an end says of the target, whose calls may have failed."""
+) -> None:
+    """Count what an end says of the target."""
     ending = read_ending(observation)
-    service = attempt.target.id.service
-    excused = state.calls.excuse(attempt.started, service)
-    if ending is Ending.FAILED and excused:
-        return Ending.SILENT
-    return ending
-
+    if ending is Ending.SILENT:
+        count_unanswered(state, now, attempt)
+    elif _says_nothing(state, now, attempt, ending):
+        return
+    else:
+        state.judge(now, attempt.target, ending)
 
-def count_hung(state: GateState, now: float) -> None:
-    """Count requests that have waited for an answer far too long."""
-    limit = find_hang_limit(state)
-    for attempt in state.ledger.attempts.values():
-        late = now - attempt.started > limit
-        if late and not attempt.hung:
-            attempt.hung = True
-            state.judge(now, attempt.target, Ending.HUNG)
 
+def _says_nothing(
+    state: GateState,
+    now: float,
+    attempt: AttemptRecord,
+    ending: Ending,
+) -> bool:
+    """Tell whether the target is neither to blame for an end nor cleared.
 
-def find_hang_limit(state: GateState) -> float:
-    """Return the seconds that hardly any request takes at the target."""
-    mean = state.latency.mean
-    if not mean:
-        return FIRST_HANG
-    return max(HANG_FACTOR * mean, mean + LEAST_HANG)
+    Its calls may have failed, and a good answer may have come very late.
+    """
+    if ending is Ending.FAILED:
+        service = attempt.target.id.service
+        return state.calls.excuse(attempt.started, service)
+    late = find_share(state, now, attempt) < LATE_SHARE
+    return ending is Ending.GOOD and late
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -8,11 +8,12 @@
 from hillfield.events import EventCode, Journal
 from hillfield.gate.admission import admit, serve_queue
 from hillfield.gate.calls import FailedCalls
-from hillfield.gate.completion import count_hung, finish
+from hillfield.gate.completion import finish
 from hillfield.gate.notes import GateNotes
 from hillfield.gate.seat import Seat
 from hillfield.gate.standing import Standing
 from hillfield.gate.state import GateState
+from hillfield.gate.suspicion import judge_running
 from hillfield.model import RequestPlan, TargetState
 from hillfield.routing.loads import Latency
 from hillfield.routing.phases import RequestTrigger
@@ -98,7 +99,7 @@
 
     def poll(self, now: float) -> tuple[Verdict, ...]:
         """Return verdicts for the waiting; call after finish, in ticks."""
-        count_hung(self._state, now)
+        judge_running(self._state, now)
         return serve_queue(self._state, now)
 
     def next_due(self) -> float | None:
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -9,7 +9,7 @@
 from tornado.httputil import HTTPHeaders
 
 from hillfield.events import EventCode
-from hillfield.model import Outcome, RequestPlan, Step
+from hillfield.model import Outcome, RequestPlan, Step, Urgency
 from hillfield.proxy.dialects import (
     DEADLINE,
     NOT_RUN,
@@ -44,7 +44,8 @@
     `incarnation` is that of the target, `origin` the service on whose host
     the request began, `priority` its rank (0 goes first). `idempotent`: it
     may run again; `trial`: a repeat is left for it, so it may try a doubtful
-    target; `insists`: many targets have declined it; `presses`: for long.
+    target; `urgency`: which targets it takes. `route` and `aim`, the seconds
+    in which an answer is worth most, tell how long it should take.
     """
 
     service: str
@@ -53,8 +54,9 @@
     origin: str
     idempotent: bool = False
     trial: bool = False
-    insists: bool = False
-    presses: bool = False
+    urgency: Urgency = Urgency.CHOOSY
+    route: str = ''
+    aim: float = 0
 
 
 _ENCODER: Final = Encoder()
@@ -65,7 +67,7 @@
     """Return the header's text.
 
     >>> write_hop(HopOrder('claims', 7, 1, 'desk', True))
-    '["claims",7,1,"desk",true,false,false,false]'
+    '["claims",7,1,"desk",true,false,0,"",0]'
     """
     return _ENCODER.encode(order).decode('ascii', 'backslashreplace')
 
@@ -103,8 +105,9 @@
             plan.origin,
             plan.idempotent,
             send.trial,
-            send.insists,
-            send.presses,
+            send.urgency,
+            plan.route,
+            plan.aim,
         )
         fields.add(HOP, write_hop(order))
 
--- a/hillfield/gate/plans.py
+++ b/hillfield/gate/plans.py
@@ -58,7 +58,7 @@
     def _plan(self, order: HopOrder) -> RequestPlan:
         return RequestPlan(
             order.service,
-            '',
+            order.route,
             '',
             order.idempotent,
             LONGEST,
@@ -67,8 +67,8 @@
             priority=order.priority,
             origin=order.origin,
             trial=order.trial,
-            insists=order.insists,
-            presses=order.presses,
+            urgency=order.urgency,
+            aim=order.aim,
         )
 
 
--- a/hillfield/gate/standing.py
+++ b/hillfield/gate/standing.py
@@ -12,7 +12,7 @@
 from types import MappingProxyType
 from typing import Final
 
-from hillfield.model import RequestPlan
+from hillfield.model import RequestPlan, Urgency
 
 
 class Ending(StrEnum):
@@ -93,14 +93,23 @@
     pause: float = TRIAL_EVERY
     odds: float = FIRST_ODDS
 
-    def note(self, now: float, ending: Ending) -> bool:
-        """Count the end of a request; return whether the verdict changed."""
+    def note(
+        self,
+        now: float,
+        ending: Ending,
+        weight: float | None = None,
+    ) -> bool:
+        """Count the end of a request; return whether the verdict changed.
+
+        `weight` is for an end whose weight is not always the same.
+        """
         if ending is Ending.SILENT:
             return False
         self.reached = ending is not Ending.UNREACHED
         self._pace_trials(ending)
         if self.reached:
-            score = self.score + SCORES[ending]
+            gain = SCORES[ending] if weight is None else weight
+            score = self.score + gain
             self.score = min(MOST_SCORE, max(0, score))
         else:
             self.score = MOST_SCORE
@@ -110,7 +119,8 @@
         """Tell whether a request may go to the target now."""
         if not self.shunned:
             return True
-        if plan.insists and self.reached and self._is_worth(plan):
+        insists = plan.urgency >= Urgency.INSISTS
+        if insists and self.reached and self._is_worth(plan):
             return True
         if self.trials > self.streak:
             return False
@@ -131,7 +141,8 @@
 
     def _is_worth(self, plan: RequestPlan) -> bool:
         """Tell whether a request that insists should be risked."""
-        return plan.idempotent or plan.presses or self.odds >= FAIR_ODDS
+        presses = plan.urgency is Urgency.PRESSES
+        return plan.idempotent or presses or self.odds >= FAIR_ODDS
 
     def _pace_trials(self, ending: Ending) -> None:
         good = ending is Ending.GOOD
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -1,18 +1,24 @@
 """What the gate keeps of its target and of the requests for it."""
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.queue import GateQueue
 from hillfield.gate.seat import Seat
 from hillfield.gate.standing import Ending, Standing
-from hillfield.model import Target
+from hillfield.model import Target, TargetState
+from hillfield.routing.durations import Durations
 from hillfield.routing.loads import Latency
-from hillfield.routing.records import Ledger, RequestRecord
+from hillfield.routing.records import AttemptRecord, Ledger, RequestRecord
 from hillfield.routing.refusals import Cause, end_refused
 from hillfield.routing.requests import Refuse, Send
 
+# How much longer requests take at a target that is cold (site files). Without
+# it all targets are held back at once after a loss of power.
+COLD_FACTOR: Final = 2.0
+
 
 @dataclass(slots=True)
 class GateState:
@@ -25,6 +31,7 @@
     queue: GateQueue = field(default_factory=GateQueue)
     latency: Latency = field(default_factory=Latency)
     calls: FailedCalls = field(default_factory=FailedCalls)
+    durations: Durations = field(default_factory=Durations)
 
     @property
     def target(self) -> Target | None:
@@ -36,18 +43,38 @@
         """Return how many requests are at the target."""
         return len(self.ledger.attempts)
 
-    def judge(self, now: float, target: Target, ending: Ending) -> None:
+    def judge(
+        self,
+        now: float,
+        target: Target,
+        ending: Ending,
+        weight: float | None = None,
+    ) -> None:
         """Count how a request at the target ended."""
         seat = self.seat
         if seat is None or seat.target.id != target.id:
             return
-        if self.standing.note(now, ending):
+        if self.standing.note(now, ending, weight):
             code = EventCode.GATE_REOPENED
             if self.standing.shunned:
                 code = EventCode.GATE_SHUNNED
             score = round(self.standing.score, 1)
             self.record(code, seat, f'last request {ending}, score {score}')
 
+    def note_answered(self, now: float, attempt: AttemptRecord) -> None:
+        """Note how long an answer took."""
+        self.latency.note(now, now - attempt.started)
+        duration = self.durations.find(attempt.record.arrival.plan)
+        duration.note(self.find_work(now, attempt))
+
+    def find_work(self, now: float, attempt: AttemptRecord) -> float:
+        """Return the seconds that a request has been at a warm target."""
+        seconds = now - attempt.started
+        target = self.target
+        if target is not None and target.state is TargetState.COLD:
+            return seconds / COLD_FACTOR
+        return seconds
+
     def send(self, now: float, record: RequestRecord, target: Target) -> Send:
         """Start an attempt."""
         self.standing.begin(now)
--- a/hillfield/model/__init__.py
+++ b/hillfield/model/__init__.py
@@ -2,7 +2,12 @@
 
 from hillfield.model.addresses import Address, parse_address
 from hillfield.model.outcomes import Outcome, RequestFailure, Step
-from hillfield.model.plans import AnswerChecks, RequestPlan, ServicePolicy
+from hillfield.model.plans import (
+    AnswerChecks,
+    RequestPlan,
+    ServicePolicy,
+    Urgency,
+)
 from hillfield.model.targets import Locality, Target, TargetId, TargetState
 
 __all__ = (
@@ -17,5 +22,6 @@
     'Target',
     'TargetId',
     'TargetState',
+    'Urgency',
     'parse_address',
 )
--- a/hillfield/routing/durations.py
+++ b/hillfield/routing/durations.py
@@ -1,40 +1,85 @@
-"""How long the requests of each route take."""
+"""How long the requests of each route take.
+
+Routes to one target differ in length by more than sick targets do, so that
+one limit for all would wait far too long for the short ones.
+"""
 
 from collections import OrderedDict
+from dataclasses import dataclass
+from math import erfc, exp, log, sqrt
 from typing import Final
 
-from hillfield.routing.loads import Latency
+from hillfield.model import RequestPlan
 
 ROUTES_KEPT: Final = 512
+# What is assumed of a route before anything is measured: the part of the time
+# in which an answer is worth most that its requests take as a rule, their
+# spread (standard deviation of the logarithm), and how many answers that
+# counts for. Routes of the users' deployments take 0.2 to 0.5 of that time
+# and spread by 0.3 to 0.8 (their site files).
+USUAL_PART: Final = 0.33
+USUAL_SPREAD: Final = 0.7
+ASSUMED: Final = 2
+# Seconds in which an answer is worth most where nobody says so.
+USUAL_AIM: Final = 1.0
+# Answers remembered: a change in length is learnt within about so many.
+REMEMBERED: Final = 30
+LEAST_SPREAD: Final = 0.3
+LEAST_SECONDS: Final = 0.001
 
 
-class Durations:
-    """Keep the latency of each route, the least recent forgotten.
+@dataclass(slots=True)
+class Duration:
+    """Hold a log-normal estimate of how long requests take, in seconds.
 
-    Routes to one target differ in length by more than sick targets do.
+    `middle` and `variance` are those of the logarithm of the seconds.
 
-    >>> durations = Durations()
-    >>> durations.note(10.0, 'lookup', 0.5)
-    >>> durations.find('lookup'), durations.find('booking')
-    (0.5, 0)
+    >>> short = Duration(log(0.1), 0.25)
+    >>> round(short.find_quantile(1.28), 2), round(short.survive(0.19), 1)
+    (0.19, 0.1)
     """
 
+    middle: float
+    variance: float
+    count: int = ASSUMED
+
+    def note(self, seconds: float) -> None:
+        """Take how long a request took."""
+        self.count = min(REMEMBERED, self.count + 1)
+        gain = 1 / self.count
+        surplus = log(max(LEAST_SECONDS, seconds)) - self.middle
+        self.middle += gain * surplus
+        kept = 1 - gain
+        self.variance = kept * (self.variance + gain * surplus**2)
+
+    def find_quantile(self, deviations: float) -> float:
+        """Return the seconds so many standard deviations above the median."""
+        return exp(self.middle + deviations * self._spread())
+
+    def survive(self, seconds: float) -> float:
+        """Return the share of requests that take longer."""
+        surplus = log(max(LEAST_SECONDS, seconds)) - self.middle
+        return erfc(surplus / self._spread() / sqrt(2)) / 2
+
+    def _spread(self) -> float:
+        return max(LEAST_SPREAD, sqrt(self.variance))
+
+
+class Durations:
+    """Keep the duration of each route, the least recently used forgotten."""
+
     def __init__(self) -> None:
         """Start without any."""
-        self._routes: OrderedDict[str, Latency] = OrderedDict()
-
-    def note(self, now: float, route: str, seconds: float) -> None:
-        """Take how long a request of this route took."""
-        latency = self._routes.get(route)
-        if latency is None:
-            latency = Latency()
-            self._routes[route] = latency
+        self._routes: OrderedDict[str, Duration] = OrderedDict()
+
+    def find(self, plan: RequestPlan) -> Duration:
+        """Return what is known of the plan's route."""
+        found = self._routes.get(plan.route)
+        if found is None:
+            middle = log(USUAL_PART * (plan.aim or USUAL_AIM))
+            found = Duration(middle, USUAL_SPREAD**2)
+            self._routes[plan.route] = found
             if len(self._routes) > ROUTES_KEPT:
                 self._routes.popitem(last=False)
-        self._routes.move_to_end(route)
-        latency.note(now, seconds)
-
-    def find(self, route: str) -> float:
-        """Return seconds that few requests exceed; 0: none was measured."""
-        latency = self._routes.get(route)
-        return 0 if latency is None else latency.bound()
+        self._routes.move_to_end(plan.route)
+        return found
--- a/hillfield/routing/hedging.py
+++ b/hillfield/routing/hedging.py
@@ -17,11 +17,12 @@
 SENT_PHASES: Final = frozenset(
     (RequestPhase.SENT, RequestPhase.SENT_DOUBTFUL),
 )
-# Parts of the time in which an answer is worth most: what an attempt may take
-# before a second one while nothing has been measured, and the bounds of what
-# is measured. Later than the latest, a second attempt of usual length would
-# come too late; sooner than the soonest, too many well requests are repeated.
-FIRST_PART: Final = 0.5
+# Standard deviations above the median at which an attempt is doubted: one in
+# ten well ones takes longer, and is repeated in vain.
+HEDGE_DEVIATIONS: Final = 1.28
+# Bounds of the delay, as parts of the time in which an answer is worth most.
+# After the latest, a second attempt of usual length would come too late;
+# before the soonest, it gains nothing that its caller would notice.
 LATEST_PART: Final = 0.55
 SOONEST_PART: Final = 0.25
 
@@ -36,11 +37,9 @@
         return plan.hedge_after
     if not (plan.aim and plan.idempotent):
         return None
-    measured = service.durations.find(plan.route)
-    if not measured:
-        return FIRST_PART * plan.aim
+    usual = service.durations.find(plan).find_quantile(HEDGE_DEVIATIONS)
     soonest = SOONEST_PART * plan.aim
-    return min(LATEST_PART * plan.aim, max(soonest, measured))
+    return min(LATEST_PART * plan.aim, max(soonest, usual))
 
 
 def hedge(service: Service, now: float, record: RequestRecord) -> Send | None:
--- a/hillfield/routing/requests.py
+++ b/hillfield/routing/requests.py
@@ -7,7 +7,13 @@
 
 from dataclasses import dataclass
 
-from hillfield.model import Address, RequestFailure, RequestPlan, TargetId
+from hillfield.model import (
+    Address,
+    RequestFailure,
+    RequestPlan,
+    TargetId,
+    Urgency,
+)
 from hillfield.routing.declining import Declined
 
 
@@ -30,8 +36,7 @@
     """Send the request to this target, as attempt `attempt` (unique).
 
     `trial` says that it could be sent once more elsewhere if this attempt
-    fails, `insists` that many targets have declined it, `presses` that this
-    has gone on for long.
+    fails, `urgency` which targets it takes.
     """
 
     request: str
@@ -39,8 +44,7 @@
     target: TargetId
     address: Address
     trial: bool = False
-    insists: bool = False
-    presses: bool = False
+    urgency: Urgency = Urgency.CHOOSY
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -16,20 +16,11 @@
 from hillfield.routing.reluctance import Reluctance
 from hillfield.routing.requests import Refuse, Send
 from hillfield.routing.selection import Selector
+from hillfield.routing.urgency import find_urgency
 
 
 # A retry is worth a try when it may be quicker than most.
 SHARE_OF_RETRY: Final = 0.5
-# Gates that have declined a request before it asks one to take it anyway: a
-# doubtful target answers half of what it gets, and nobody else would.
-INSISTS_AFTER: Final = 6
-# Seconds that a request first looks for a gate that takes it gladly: a slot
-# of 4 is free again about so soon, and a shunned target is judged anew.
-INSISTS_LATEST: Final = 0.25
-# Seconds after which it goes to a target whatever the odds there: work that
-# runs once is lost with a target that ends most of it, and an answer that
-# comes late is worth something.
-PRESSES_LATEST: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -115,8 +106,7 @@
         return replace(
             send,
             trial=self._may_follow(record, record.sent),
-            insists=_insists(now, record, INSISTS_LATEST),
-            presses=_insists(now, record, PRESSES_LATEST),
+            urgency=find_urgency(now, record),
         )
 
     def forget(self, request: str) -> None:
@@ -171,12 +161,6 @@
         return spare and self.budget.retries.can_take()
 
 
-def _insists(now: float, record: RequestRecord, latest: float) -> bool:
-    """Tell whether a gate should hand the request to a doubtful target."""
-    waited = now - record.began >= latest
-    return waited and len(record.declined) >= INSISTS_AFTER
-
-
 def open_service(
     policy: ServicePolicy,
     locality: Locality,
--- a/hillfield/routing/telling.py
+++ b/hillfield/routing/telling.py
@@ -61,5 +61,5 @@
     hedges come ever sooner.
     """
     if reading.trigger in TIMED:
-        route = attempt.record.arrival.plan.route
-        service.durations.note(now, route, now - attempt.started)
+        plan = attempt.record.arrival.plan
+        service.durations.find(plan).note(now - attempt.started)
