Let gates tell their room, stay nearby while there is some, share one budget

Bodies are random bytes, so that compressing the hop gains nothing (measured: 11,521 to 11,531 bytes).

Gates tell their failure domain when a choice changes by it, and each other domain through one of its nodes, in sealed datagrams, 40 a second at most. A request stays nearby while there is room, waits there while its answer still comes in time, crosses only then. Retries and second attempts share one budget that also grows with time: a node that calls seldom got one in twelve requests.

The budget of the policy that a service has before its own is known stayed in force, so that second attempts drew on an empty one.

--- a/hillfield/gate/__init__.py
+++ b/hillfield/gate/__init__.py
@@ -4,5 +4,6 @@
 from hillfield.gate.hop import HopDialect, HopOrder
 from hillfield.gate.plans import GatePlans
 from hillfield.gate.seat import Seat
+from hillfield.gate.seating import Seating
 
-__all__ = ('Gate', 'GatePlans', 'HopDialect', 'HopOrder', 'Seat')
+__all__ = ('Gate', 'GatePlans', 'HopDialect', 'HopOrder', 'Seat', 'Seating')
--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -15,6 +15,10 @@
 # Seconds that a request may wait for a slot here, and the part of its time.
 LONGEST_WAIT: Final = 0.25
 SHARE_OF_WAIT: Final = 0.2
+# The part of its time that a request may wait here if its answer is expected
+# within the time in which it is worth most: what leaves the gate untried needs
+# the rest to be tried elsewhere.
+LARGEST_SHARE_OF_WAIT: Final = 0.3
 # Seconds of an attempt while nothing has been measured.
 FIRST_NEED: Final = 0.02
 # Seconds after which a refused request may come back.
@@ -77,6 +81,33 @@
     return state.latency.mean or FIRST_NEED
 
 
+def find_wait(state: GateState, target: Target) -> float:
+    """Return the seconds that one more would wait for a slot.
+
+    A slot whose request hangs is not counted on.
+    """
+    attempts = state.ledger.attempts.values()
+    hung = sum(attempt.hung for attempt in attempts)
+    ahead = len(state.queue) + 1
+    return ahead * find_need(state) / max(1, target.slots - hung)
+
+
+def _find_bound(
+    state: GateState,
+    now: float,
+    record: RequestRecord,
+) -> float:
+    """Return the seconds that a request may wait for a slot here."""
+    left = record.arrival.expires - now
+    bound = min(LONGEST_WAIT, SHARE_OF_WAIT * left)
+    plan = record.arrival.plan
+    if not plan.aim:
+        return bound
+    usual = state.durations.find(plan).find_quantile(0)
+    slack = plan.aim - plan.spent - usual
+    return max(bound, min(slack, LARGEST_SHARE_OF_WAIT * left))
+
+
 def _serve(
     state: GateState,
     now: float,
@@ -109,11 +140,8 @@
     record: RequestRecord,
     target: Target,
 ) -> Verdict:
-    ahead = len(state.queue) + 1
-    wait = ahead * find_need(state) / target.slots
-    left = record.arrival.expires - now
-    bound = min(LONGEST_WAIT, SHARE_OF_WAIT * left)
-    if wait > bound:
+    wait = find_wait(state, target)
+    if wait > _find_bound(state, now, record):
         return state.refuse(record, replace(FULL, retry_after=wait))
     record.follow(RequestTrigger.QUEUE)
     record.queued_at = now
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -5,6 +5,8 @@
 certainly not run, since not a byte of it went to the target.
 """
 
+from collections.abc import Callable
+
 from hillfield.events import EventCode, Journal
 from hillfield.gate.admission import admit, serve_queue
 from hillfield.gate.calls import FailedCalls
@@ -26,13 +28,20 @@
 )
 
 
+GateListener = Callable[[float], None]
+
+
 class Gate(GateNotes):
     """Implement `Dispatching` and `Dispatchers` for the one target here."""
 
     def __init__(self, journal: Journal) -> None:
-        """Start without a target; `closing` refuses all that is new."""
+        """Start without a target; `closing` refuses all that is new.
+
+        `listener` is told of whatever may change the target's room.
+        """
         super().__init__(GateState(journal))
         self.closing = False
+        self.listener: GateListener = _tell_nobody
 
     @property
     def seat(self) -> Seat | None:
@@ -70,7 +79,9 @@
 
     def admit(self, now: float, arrival: Arrival) -> Verdict:
         """Send a request, let it wait, or refuse it: then it has not run."""
-        return admit(self._state, now, arrival)
+        verdict = admit(self._state, now, arrival)
+        self.listener(now)
+        return verdict
 
     def finish(
         self,
@@ -82,7 +93,9 @@
         found = self._state.ledger.find(attempt)
         if found is None:
             return Done('')
-        return finish(self._state, now, found, observation)
+        verdict = finish(self._state, now, found, observation)
+        self.listener(now)
+        return verdict
 
     def find_hedge_delay(self, plan: RequestPlan) -> None:
         """Name no delay: there is one target here."""
@@ -100,7 +113,13 @@
     def poll(self, now: float) -> tuple[Verdict, ...]:
         """Return verdicts for the waiting; call after finish, in ticks."""
         judge_running(self._state, now)
-        return serve_queue(self._state, now)
+        verdicts = serve_queue(self._state, now)
+        self.listener(now)
+        return verdicts
 
     def next_due(self) -> float | None:
         """Name no time: the end of an attempt or a tick moves the queue."""
+
+
+def _tell_nobody(now: float) -> None:
+    """Tell nobody: no one has asked yet."""
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -45,7 +45,8 @@
     the request began, `priority` its rank (0 goes first). `idempotent`: it
     may run again; `trial`: a repeat is left for it, so it may try a doubtful
     target; `urgency`: which targets it takes. `route` and `aim`, the seconds
-    in which an answer is worth most, tell how long it should take.
+    in which an answer is worth most, tell how long it should take; `spent`
+    are the seconds since it was first sent.
     """
 
     service: str
@@ -57,6 +58,7 @@
     urgency: Urgency = Urgency.CHOOSY
     route: str = ''
     aim: float = 0
+    spent: float = 0
 
 
 _ENCODER: Final = Encoder()
@@ -67,7 +69,7 @@
     """Return the header's text.
 
     >>> write_hop(HopOrder('claims', 7, 1, 'desk', True))
-    '["claims",7,1,"desk",true,false,0,"",0]'
+    '["claims",7,1,"desk",true,false,0,"",0,0]'
     """
     return _ENCODER.encode(order).decode('ascii', 'backslashreplace')
 
@@ -108,6 +110,7 @@
             send.urgency,
             plan.route,
             plan.aim,
+            send.spent,
         )
         fields.add(HOP, write_hop(order))
 
--- a/hillfield/gate/plans.py
+++ b/hillfield/gate/plans.py
@@ -69,6 +69,7 @@
             trial=order.trial,
             urgency=order.urgency,
             aim=order.aim,
+            spent=order.spent,
         )
 
 
--- /dev/null
+++ b/hillfield/gate/reporting.py
@@ -0,0 +1,36 @@
+"""What the gate tells of its target's room."""
+
+from hillfield.gate.state import GateState
+from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
+from hillfield.loadreports.reports import Held, LoadReport
+
+
+def report_load(
+    state: GateState,
+    now: float,
+    number: int,
+) -> LoadReport | None:
+    """Return the report of the target, if there is one."""
+    target = state.target
+    if target is None:
+        return None
+    waiting = len(state.queue)
+    free = 0 if waiting else max(0, target.slots - state.in_flight)
+    return LoadReport(
+        target.id.service,
+        target.id.address.ip,
+        target.id.address.port,
+        target.id.incarnation,
+        number,
+        free,
+        waiting,
+        _find_held(state, now),
+    )
+
+
+def _find_held(state: GateState, now: float) -> Held:
+    if state.standing.shunned:
+        wanted = state.standing.wants_trial(now)
+        return Held.USUAL if wanted else Held.ALL
+    doubted = weigh_running(state, now) > DOUBT_SCORE
+    return Held.ONCE if doubted else Held.NOTHING
--- a/hillfield/gate/standing.py
+++ b/hillfield/gate/standing.py
@@ -125,10 +125,16 @@
         if self.trials > self.streak:
             return False
         if plan.trial:
-            return bool(self.streak) or now - self.tried >= self.pause
+            return self.wants_trial(now)
         wait = LONG_SHUN if plan.idempotent else LONGEST_SHUN
         return now - max(self.since, self.tried) >= wait
 
+    def wants_trial(self, now: float) -> bool:
+        """Tell whether a trial of a shunned target may begin now."""
+        if self.trials > self.streak:
+            return False
+        return bool(self.streak) or now - self.tried >= self.pause
+
     def begin(self, now: float) -> None:
         """Note that a request was let through."""
         if self.shunned:
--- a/hillfield/hostroutes/allowances.py
+++ b/hillfield/hostroutes/allowances.py
@@ -7,13 +7,13 @@
 # Of the fleet's bound of repeats, so that calls made by repeated runs, which
 # count as repeats too, have room.
 BUDGET_PART: Final = 0.8
-# Repeats that one node may have saved up. The fleet's are 56 over 21 hosts,
-# 64 over 31 and 204 over 99 (site files), so this is under three quarters.
-BURST: Final = 1.5
-# Second attempts beside a first one, per answered request. The fleet's bound
-# of repeats holds them and all others, calls not counted among the requests:
-# calls are five in six of what a service of 30 hosts gets.
-HEDGE_PART: Final = 0.08
+# Repeats that one node may have saved up, and those that each second adds:
+# retries and second attempts beside a first one share them. In the 10 s in
+# which the fleet's are counted, 30 nodes whose requests all hang send at most
+# 66; the fleet may send 60 and a fifth of its requests (site files: 56 over 21
+# hosts, 64 over 31, 204 over 99).
+BURST: Final = 1.2
+RATE: Final = 0.1
 # Requests that may wait at one node: 2 s of work of a site's busiest node.
 QUEUE_LIMIT: Final = 64
 
@@ -32,7 +32,8 @@
         '',
         floor=floor,
         retry_budget=retry_ratio * BUDGET_PART,
-        hedge_budget=HEDGE_PART,
+        hedge_budget=None,
+        retry_rate=RATE,
         queue_limit=QUEUE_LIMIT,
         account_share=1,
         retry_burst=BURST,
--- /dev/null
+++ b/hillfield/loadreports/pacing.py
@@ -0,0 +1,101 @@
+"""When a gate tells of its target's room; pure.
+
+This answers the load of targets that are full: without it a request is handed
+from gate to gate just to hear so, across failure domains with its whole body.
+Only what changes a choice is told, so that a report costs little beside the
+requests that it spares.
+"""
+
+from dataclasses import dataclass
+from math import ceil
+from typing import Final
+
+from hillfield.loadreports.reports import Held, LoadReport
+from hillfield.routing.budgets import Bucket
+
+# Seconds between two reports to the own failure domain: a request takes ten
+# times as long.
+NEAR_GAP: Final = 0.01
+# Seconds between two reports to another failure domain, whose bytes are dear;
+# one and the requests that it spares weigh 0.1 and 2 kB.
+FAR_GAP: Final = 0.25
+# Seconds after which a report is told again: datagrams get lost.
+NEAR_REFRESH: Final = 1.0
+FAR_REFRESH: Final = 2.0
+# Datagrams a second that a node may send, and save up: with 90 bytes each and
+# the fleet's other messages that keeps within 5 KB a second.
+DATAGRAM_RATE: Final = 40.0
+DATAGRAM_BURST: Final = 120.0
+# Turns of waiting requests that are told apart.
+MOST_TURNS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """Hold what a choice depends on, and when it was told."""
+
+    has_room: bool
+    turns: int
+    held: Held
+    moment: float
+
+
+class ReportPacer:
+    """Decide when a report is due; times are seconds."""
+
+    def __init__(self) -> None:
+        """Start with nothing told."""
+        self._near: _Told | None = None
+        self._far: _Told | None = None
+        self._bucket = Bucket(DATAGRAM_BURST, DATAGRAM_BURST)
+        self._filled: float = 0
+
+    def is_due_near(
+        self,
+        now: float,
+        report: LoadReport,
+        slots: int,
+        listeners: int,
+    ) -> bool:
+        """Tell whether the own failure domain is to be told, and note it."""
+        state = _sum_up(now, report, slots)
+        if not _is_news(self._near, state, NEAR_GAP, NEAR_REFRESH):
+            return False
+        if not self._take(now, listeners):
+            return False
+        self._near = state
+        return True
+
+    def is_due_far(self, now: float, report: LoadReport) -> bool:
+        """Tell whether other failure domains are to be told, and note it."""
+        state = _sum_up(now, report, 0)
+        if not _is_news(self._far, state, FAR_GAP, FAR_REFRESH):
+            return False
+        self._far = state
+        return True
+
+    def _take(self, now: float, datagrams: int) -> bool:
+        self._bucket.deposit((now - self._filled) * DATAGRAM_RATE)
+        self._filled = now
+        return self._bucket.take(datagrams)
+
+
+def _sum_up(now: float, report: LoadReport, slots: int) -> _Told:
+    turns = ceil(report.waiting / slots) if slots else 0
+    has_room = report.free > 0
+    return _Told(has_room, min(MOST_TURNS, turns), report.held, now)
+
+
+def _is_news(
+    told: _Told | None,
+    state: _Told,
+    gap: float,
+    refresh: float,
+) -> bool:
+    if told is None:
+        return True
+    passed = state.moment - told.moment
+    before = (told.has_room, told.turns, told.held)
+    if before != (state.has_room, state.turns, state.held):
+        return passed >= gap
+    return passed >= refresh
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -40,7 +40,8 @@
 
     `priority` ranks requests that wait (0 goes first), `origin` is the
     service on whose host the request began (empty: not known), `trial`
-    and `urgency` what the node where it began says of this attempt,
+    `urgency` and `spent` (seconds since it was first sent) what the node
+    where it began says of this attempt,
     `aim` the time in which an answer is worth most (0: not known).
     """
 
@@ -57,6 +58,7 @@
     trial: bool = False
     urgency: Urgency = Urgency.CHOOSY
     aim: float = 0
+    spent: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,14 +73,16 @@
     the seconds over which a cold target gets up to its full share,
     `retry_burst` and `shed_burst` how many retries of each kind one node may
     have saved up, `shed_cost` what a retry after the shed answer costs,
-    `patience` the seconds that requests wait for a first target.
+    `patience` the seconds that requests wait for a first target. Without a
+    `hedge_budget` hedges draw on that of the retries, to which `retry_rate`
+    adds so many a second.
     """
 
     service: str
     floor: float = 0.5
     late_detection_cost: float = 1
     retry_budget: float = 0.1
-    hedge_budget: float = 0.02
+    hedge_budget: float | None = 0.02
     queue_limit: int = 64
     slow_start: float = 5
     probe_path: str = ''
@@ -88,3 +92,4 @@
     shed_burst: float = 10
     shed_cost: float = 0.1
     patience: float = 0
+    retry_rate: float = 0
--- a/hillfield/node/desk.py
+++ b/hillfield/node/desk.py
@@ -7,6 +7,7 @@
 from hillfield.fleet import NodeEvidence
 from hillfield.fleet.findings import FindingsView
 from hillfield.fleet.view import TargetView
+from hillfield.loadreports import LoadReport
 from hillfield.model import ServicePolicy, Target, TargetId, TargetState
 from hillfield.routing import Dispatcher, DispatcherTable
 
@@ -91,6 +92,12 @@
             told.evidence,
         )
 
+    def follow_report(self, now: float, report: LoadReport) -> None:
+        """Take what a gate tells, if its service is used here."""
+        dispatcher = self.table.find(report.service)
+        if dispatcher is not None:
+            dispatcher.adopt_report(now, report)
+
     def _set_up(self, service: str) -> None:
         self._known[service] = frozenset()
         self._adopt_policy(service)
--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -10,7 +10,7 @@
 from hillfield.fleet.feeds import FeedSettings
 from hillfield.gate.seating import Seating
 from hillfield.hostroutes import HostPlanner
-from hillfield.model import AnswerChecks
+from hillfield.model import Address, AnswerChecks
 from hillfield.node.desk import ServiceDesk
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts, Recording
@@ -35,7 +35,8 @@
     """Hold what an adapter brings for a platform.
 
     `callers` and `hops` are the settings of the two servers, `checks` tell a
-    wrong answer of the target, `relay` how the store is followed,
+    wrong answer of the target, `reports` is where load reports come in
+    (datagrams, the same port on all hosts), `relay` how the store is followed,
     `make_listeners` what else listens.
     """
 
@@ -43,6 +44,7 @@
     store: OpenStore
     callers: ProxySettings
     hops: ProxySettings
+    reports: Address
     checks: AnswerChecks
     relay: FeedSettings
     make_listeners: Callable[[Seating, NodePage], tuple[Listening, ...]]
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -12,14 +12,14 @@
 
 from hillfield.fleet import Fleet, FleetSettings
 from hillfield.fleet.openrelay import OpenRelay
-from hillfield.gate import Gate, GatePlans
-from hillfield.gate.seating import Seating
+from hillfield.gate import Gate, GatePlans, Seating
 from hillfield.hostroutes import RouteTable
 from hillfield.model import Address
 from hillfield.node.calls import CallMeter
 from hillfield.node.fittings import Fittings, make_gated_parts
 from hillfield.node.node import Node, NodeError
 from hillfield.node.parts import Recording
+from hillfield.node.reporting import LoadReporting
 from hillfield.proxy import ProxyServer
 from hillfield.settings import NodeSettings
 
@@ -77,7 +77,16 @@
             self.gate,
             recording.journal,
         )
-        self._listeners = fittings.make_listeners(self.seating, self.page)
+        self._reporting = LoadReporting(
+            fittings.reports,
+            settings.cluster_key.encode(),
+            self.gate,
+            parts.desk.follow_report,
+        )
+        self._listeners = (
+            *fittings.make_listeners(self.seating, self.page),
+            self._reporting,
+        )
         self._gate_ticking = PeriodicCallback(
             self._tick_gate,
             GATE_TICK * MILLISECONDS,
@@ -122,6 +131,7 @@
         self,
         fleet: Fleet,
     ) -> tuple[Coroutine[None, None, None], ...]:
+        self._reporting.join(fleet.state.core)
         relay = OpenRelay(
             fleet,
             self.parts.store,
--- /dev/null
+++ b/hillfield/node/reporting.py
@@ -0,0 +1,122 @@
+"""Load reports between nodes: datagrams, sent when due and taken in."""
+
+import socket
+from asyncio import get_running_loop
+from collections.abc import Callable
+from contextlib import suppress
+from time import monotonic
+from typing import Final
+
+from hillfield.fleet.audience import Audience, choose_audience
+from hillfield.fleet.core import Core
+from hillfield.gate import Gate
+from hillfield.loadreports import LoadReport, ReportCodec, ReportPacer
+from hillfield.model import Address
+
+DATAGRAM_LIMIT: Final = 512
+TAKEN_AT_ONCE: Final = 64
+# Seconds for which an audience is kept before it is chosen anew.
+AUDIENCE_KEPT: Final = 1.0
+
+ReportTaker = Callable[[float, LoadReport], None]
+
+
+class LoadReporting:
+    """Tell others of the room at this host's target; hear of theirs.
+
+    A report that a node of another failure domain has sent is passed on to
+    the nodes of this one, as it came.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        key: bytes,
+        gate: Gate,
+        take: ReportTaker,
+    ) -> None:
+        """Prepare; nothing is opened before `start`."""
+        self._address = address
+        self._codec = ReportCodec(key)
+        self._gate = gate
+        self._take = take
+        self._pacer = ReportPacer()
+        self._audience = Audience()
+        self._chosen = -AUDIENCE_KEPT
+        self._core: Core | None = None
+        self._socket: socket.socket | None = None
+
+    def join(self, core: Core) -> None:
+        """Take what the node knows of its fleet: until then nobody is told."""
+        self._core = core
+
+    def start(self) -> None:
+        """Open the socket; raises `OSError` when it can't be had."""
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        opened.bind((self._address.ip, self._address.port))
+        self._socket = opened
+        get_running_loop().add_reader(opened.fileno(), self._receive)
+        self._gate.listener = self.note
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        opened = self._socket
+        if opened is None:
+            return
+        self._socket = None
+        get_running_loop().remove_reader(opened.fileno())
+        opened.close()
+
+    def note(self, now: float) -> None:
+        """Tell those who are due of what may have changed."""
+        report = self._gate.report(now)
+        seat = self._gate.seat
+        if report is None or seat is None:
+            return
+        self._take(now, report)
+        audience = self._follow_audience(now)
+        near = self._pacer.is_due_near(
+            now,
+            report,
+            seat.target.slots,
+            len(audience.near),
+        )
+        if near:
+            self._send(self._codec.seal(report), audience.near)
+        if self._pacer.is_due_far(now, report):
+            self._send(self._codec.seal(report), audience.far)
+
+    def _follow_audience(self, now: float) -> Audience:
+        core = self._core
+        if core is not None and now - self._chosen >= AUDIENCE_KEPT:
+            self._chosen = now
+            records = core.book.records
+            known = core.book.alive & records.keys()
+            others = (records[name] for name in known)
+            self._audience = choose_audience(core.own.record, others)
+        return self._audience
+
+    def _receive(self) -> None:
+        for _ in range(TAKEN_AT_ONCE):
+            if self._socket is None:
+                return
+            try:
+                datagram, sender = self._socket.recvfrom(DATAGRAM_LIMIT)
+            except OSError:
+                # Nothing is left; a report that can't be had is told anew.
+                return
+            report = self._codec.open(datagram)
+            if report is None:
+                continue
+            self._take(monotonic(), report)
+            if sender[0] not in self._audience.near:
+                self._send(datagram, self._audience.near)
+
+    def _send(self, datagram: bytes, hosts: tuple[str, ...]) -> None:
+        if self._socket is None:
+            return
+        for host in hosts:
+            # What can't be sent now is told anew.
+            with suppress(OSError):
+                self._socket.sendto(datagram, (host, self._address.port))
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -20,6 +20,7 @@
 LINKS: Final = 0
 HOPS: Final = 1
 CONTROL: Final = 2
+REPORTS: Final = 3
 # All nodes of one platform are one cluster. Its network is the platform's
 # own, so the key only keeps stray messages out.
 CLUSTER: Final = 'platform'
@@ -95,6 +96,7 @@
     ready: Address
     heartbeats: Address
     hops: Address
+    reports: Address
     grace: float
     retry_ratio: float
     floor: float
@@ -123,6 +125,7 @@
         ready=_read_address('listen.ready', wire.listen.ready),
         heartbeats=_read_address('listen.control', wire.listen.control),
         hops=Address(wire.ip, wire.internal_ports[0] + HOPS),
+        reports=Address(wire.ip, wire.internal_ports[0] + REPORTS),
         grace=wire.bound('graceS', GRACE),
         retry_ratio=wire.bound('retryBudgetRatio', RETRY_RATIO),
         floor=wire.bound('floorShare', FLOOR),
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -92,6 +92,7 @@
             store=self._make_store(),
             callers=self._make_caller_settings(),
             hops=self._make_hop_settings(),
+            reports=self._boot.reports,
             checks=SIGNED,
             relay=FeedSettings(
                 (KEY,),
--- a/hillfield/routing/admission.py
+++ b/hillfield/routing/admission.py
@@ -4,6 +4,7 @@
 
 from hillfield.events import EventCode
 from hillfield.model import Step
+from hillfield.routing.placing import place
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.queues import is_late
 from hillfield.routing.records import RequestRecord
@@ -33,7 +34,7 @@
         return refuse(service, record, cause)
     target = None
     if not service.waiting():
-        target = service.choose(now, trial=service.is_trial(record))
+        target = place(service, now, record)
     if target is None:
         return _enqueue(service, now, record)
     return service.send(now, record, target)
--- a/hillfield/routing/budgets.py
+++ b/hillfield/routing/budgets.py
@@ -6,6 +6,8 @@
 from hillfield.model import ServicePolicy
 
 HEDGE_BURST: Final = 2.0
+# Seconds for which time itself adds to a budget between two calls.
+LONGEST_PASSED: Final = 10.0
 UNSENT_COST: Final = 0.1
 UNSENT_BURST: Final = 50.0
 ACCOUNT_BURST: Final = 3.0
@@ -68,7 +70,10 @@
         self.retries = Bucket(policy.retry_burst, policy.retry_burst)
         self.sheds = Bucket(policy.shed_burst, policy.shed_burst)
         self.unsent = Bucket(UNSENT_BURST, UNSENT_BURST)
-        self.hedges = Bucket(HEDGE_BURST, 0)
+        self.hedges = self.retries
+        if policy.hedge_budget is not None:
+            self.hedges = Bucket(HEDGE_BURST, 0)
+        self._passed: float = 0
         self._accounts: OrderedDict[str, Bucket] = OrderedDict()
 
     def note_answered(self, policy: ServicePolicy, account: str) -> None:
@@ -76,11 +81,17 @@
         self.retries.deposit(policy.retry_budget)
         self.sheds.deposit(policy.retry_budget / policy.shed_cost)
         self.unsent.deposit(policy.retry_budget / UNSENT_COST)
-        self.hedges.deposit(policy.hedge_budget)
+        self.hedges.deposit(policy.hedge_budget or 0)
         bucket = self._accounts.get(account)
         if bucket is not None:
             bucket.deposit(policy.retry_budget)
 
+    def pass_time(self, now: float, policy: ServicePolicy) -> None:
+        """Deposit what the seconds since the last call allow."""
+        seconds = min(LONGEST_PASSED, now - self._passed)
+        self._passed = now
+        self.retries.deposit(policy.retry_rate * seconds)
+
     def adopt(self, policy: ServicePolicy) -> None:
         """Take new bounds into force; what is saved up stays within them."""
         self._shed_cost = policy.shed_cost
--- a/hillfield/routing/dispatcher.py
+++ b/hillfield/routing/dispatcher.py
@@ -4,6 +4,7 @@
 
 from hillfield.detection.boards import Board
 from hillfield.events import EventCode, Occurrence
+from hillfield.loadreports.reports import LoadReport
 from hillfield.model import Locality, ServicePolicy, Target
 from hillfield.routing.admission import admit, serve_queue
 from hillfield.routing.explanations import RoutingExplanation, explain_service
@@ -116,9 +117,14 @@
         ledger = self._service.ledger
         return not (ledger.requests or ledger.attempts)
 
+    def adopt_report(self, now: float, report: LoadReport) -> None:
+        """Take what the gate of a target tells of its room."""
+        self._service.rooms.note(now, report)
+
     def tick(self, now: float) -> tuple[Occurrence, ...]:
         """Return what has changed since the last tick; call each 0.1 s."""
         occurrences = list(self.board.tick(now))
+        self._service.budget.pass_time(now, self._service.policy)
         name = self._service.policy.service
         overloaded = self._service.waiting() > 0
         if overloaded is not self._overloaded:
--- a/hillfield/routing/hedging.py
+++ b/hillfield/routing/hedging.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from hillfield.model import RequestPlan
+from hillfield.routing.placing import place
 from hillfield.routing.phases import RequestPhase
 from hillfield.routing.records import RequestRecord
 from hillfield.routing.requests import Send
@@ -18,8 +19,8 @@
     (RequestPhase.SENT, RequestPhase.SENT_DOUBTFUL),
 )
 # Standard deviations above the median at which an attempt is doubted: one in
-# ten well ones takes longer, and is repeated in vain.
-HEDGE_DEVIATIONS: Final = 1.28
+# twenty well ones takes longer, and is repeated in vain.
+HEDGE_DEVIATIONS: Final = 1.65
 # Bounds of the delay, as parts of the time in which an answer is worth most.
 # After the latest, a second attempt of usual length would come too late;
 # before the soonest, it gains nothing that its caller would notice.
@@ -50,7 +51,7 @@
         and not service.waiting()
         and service.budget.hedges.can_take()
     )
-    target = service.choose(now, record.tried) if possible else None
+    target = place(service, now, record, record.tried) if possible else None
     if target is None:
         return None
     service.budget.take_hedge()
--- a/hillfield/routing/records.py
+++ b/hillfield/routing/records.py
@@ -71,6 +71,10 @@
         unsent = self.unsent - declined
         return unsent <= MAXIMUM_UNSENT and declined <= MAXIMUM_DECLINED
 
+    def find_spent(self, now: float) -> float:
+        """Return the seconds since the request was first sent."""
+        return now - self.began if self.tried else 0
+
     def has_ended(self) -> bool:
         """Tell whether the caller has been given its verdict."""
         return self.phase is RequestPhase.ENDED
--- a/hillfield/routing/requests.py
+++ b/hillfield/routing/requests.py
@@ -36,7 +36,8 @@
     """Send the request to this target, as attempt `attempt` (unique).
 
     `trial` says that it could be sent once more elsewhere if this attempt
-    fails, `urgency` which targets it takes.
+    fails, `urgency` which targets it takes, `spent` the seconds since the
+    request was first sent.
     """
 
     request: str
@@ -45,6 +46,7 @@
     address: Address
     trial: bool = False
     urgency: Urgency = Urgency.CHOOSY
+    spent: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillfield/routing/reselection.py
+++ b/hillfield/routing/reselection.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from hillfield.model import Target, TargetId
+from hillfield.routing.placing import place
 from hillfield.routing.records import RequestRecord
 from hillfield.routing.service import Service
 
@@ -27,7 +28,7 @@
     """
     if _count_far(service, record) >= _find_allowance(now, record):
         return service.choose(now, record.tried[-1:], near=True)
-    return service.choose(now, excluded, trial=service.is_trial(record))
+    return place(service, now, record, excluded)
 
 
 def _count_far(service: Service, record: RequestRecord) -> int:
--- /dev/null
+++ b/hillfield/routing/rooms.py
@@ -0,0 +1,105 @@
+"""What the gates of a service have told of their targets' room."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from hillfield.loadreports.reports import Held, LoadReport
+from hillfield.model import RequestPlan, TargetId
+
+# Seconds for which a report is believed: it is told anew each 2 s at most.
+BELIEVED: Final = 2.5
+
+
+@dataclass(slots=True)
+class Room:
+    """Hold the newest report of one target; `free` less what went there."""
+
+    number: int
+    free: int
+    waiting: int
+    held: Held
+    told: float
+
+
+class Rooms:
+    """Remember reports, and what this node has sent since.
+
+    >>> rooms = Rooms()
+    >>> report = LoadReport('fees', '10.0.0.1', 80, 7, 1, 1)
+    >>> rooms.note(0, report)
+    >>> rooms.list_full(0)
+    ()
+    >>> rooms.take(report.target)
+    >>> rooms.list_full(0) == (report.target,)
+    True
+    """
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._rooms: dict[TargetId, Room] = {}
+
+    def note(self, now: float, report: LoadReport) -> None:
+        """Take a report, unless a newer one has come already."""
+        known = self._rooms.get(report.target)
+        if known is not None and report.number < known.number:
+            return
+        self._rooms[report.target] = Room(
+            report.number,
+            report.free,
+            report.waiting,
+            report.held,
+            now,
+        )
+
+    def take(self, target: TargetId) -> None:
+        """Count a request that this node sends there."""
+        room = self._rooms.get(target)
+        if room is None:
+            return
+        if room.free > 0:
+            room.free -= 1
+        else:
+            room.waiting += 1
+
+    def are_known(self, now: float) -> bool:
+        """Tell whether any gate tells of its room."""
+        self._forget(now)
+        return bool(self._rooms)
+
+    def find(self, target: TargetId) -> Room | None:
+        """Return what is known of a target's room."""
+        return self._rooms.get(target)
+
+    def list_full(self, now: float) -> tuple[TargetId, ...]:
+        """Return the targets that have no free slot."""
+        self._forget(now)
+        return tuple(
+            target for target, room in self._rooms.items() if room.free <= 0
+        )
+
+    def list_held(
+        self,
+        now: float,
+        plan: RequestPlan,
+        trial: bool,
+    ) -> tuple[TargetId, ...]:
+        """Return the targets whose gates hold such work back.
+
+        `trial` says that the request may try a doubtful target.
+        """
+        self._forget(now)
+        least = Held.USUAL if plan.idempotent else Held.ONCE
+        if trial:
+            least = Held.ALL
+        return tuple(
+            target for target, room in self._rooms.items() if room.held >= least
+        )
+
+    def _forget(self, now: float) -> None:
+        over = [
+            target
+            for target, room in self._rooms.items()
+            if now - room.told > BELIEVED
+        ]
+        for target in over:
+            self._rooms.pop(target)
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -5,7 +5,12 @@
 from random import Random
 from typing import Final
 
-from hillfield.model import Locality, ServicePolicy, Target, TargetId
+from hillfield.model import (
+    Locality,
+    ServicePolicy,
+    Target,
+    TargetId,
+)
 from hillfield.detection.boards import Board
 from hillfield.routing.durations import Durations
 from hillfield.routing.budgets import RateLimiter, RetryBudget
@@ -15,6 +20,7 @@
 from hillfield.routing.records import Ledger, RequestRecord
 from hillfield.routing.reluctance import Reluctance
 from hillfield.routing.requests import Refuse, Send
+from hillfield.routing.rooms import Rooms
 from hillfield.routing.selection import Selector
 from hillfield.routing.urgency import find_urgency
 
@@ -22,6 +28,8 @@
 # A retry is worth a try when it may be quicker than most.
 SHARE_OF_RETRY: Final = 0.5
 
+MILLISECOND_DIGITS: Final = 3
+
 
 @dataclass(slots=True)
 class Counters:
@@ -56,6 +64,7 @@
     counters: Counters = field(default_factory=Counters)
     reluctance: Reluctance = field(default_factory=Reluctance)
     durations: Durations = field(default_factory=Durations)
+    rooms: Rooms = field(default_factory=Rooms)
     scanned: float = 0
     barren_since: float | None = None
 
@@ -89,6 +98,25 @@
             return self.selector.choose(now, excluded, near=near)
         return found
 
+    def list_held(
+        self,
+        now: float,
+        record: RequestRecord,
+    ) -> tuple[TargetId, ...]:
+        """Return the targets whose gates hold such work back.
+
+        What a gate has told itself goes before what its declines have said.
+        """
+        trial = self.is_trial(record)
+        told = self.rooms.list_held(now, record.arrival.plan, trial)
+        if trial:
+            return told
+        declining = self.reluctance.list_targets(now)
+        untold = (
+            target for target in declining if self.rooms.find(target) is None
+        )
+        return (*told, *untold)
+
     def choose_for_waiting(
         self,
         now: float,
@@ -102,11 +130,13 @@
     def send(self, now: float, record: RequestRecord, target: Target) -> Send:
         """Start an attempt."""
         self.selector.note_sent(target.id)
+        self.rooms.take(target.id)
         send = self.ledger.start(now, record, target)
         return replace(
             send,
             trial=self._may_follow(record, record.sent),
             urgency=find_urgency(now, record),
+            spent=round(record.find_spent(now), MILLISECOND_DIGITS),
         )
 
     def forget(self, request: str) -> None:
