Take the shared budget into force with a policy; end pauses by reports

Cause: RetryBudget chose its bucket once, by the policy that a service has before its own is known. Pauses after a decline made near targets look taken to a node that could know better, and its requests crossed.

--- a/hillfield/node/desk.py
+++ b/hillfield/node/desk.py
@@ -10,6 +10,7 @@
 from hillfield.loadreports import LoadReport
 from hillfield.model import ServicePolicy, Target, TargetId, TargetState
 from hillfield.routing import Dispatcher, DispatcherTable
+from hillfield.routing.requests import Verdict
 
 
 class PolicySource(Protocol):
@@ -92,11 +93,17 @@
             told.evidence,
         )
 
-    def follow_report(self, now: float, report: LoadReport) -> None:
-        """Take what a gate tells, if its service is used here."""
+    def follow_report(
+        self,
+        now: float,
+        report: LoadReport,
+    ) -> tuple[Verdict, ...]:
+        """Take what a gate tells; return verdicts for those that waited."""
         dispatcher = self.table.find(report.service)
-        if dispatcher is not None:
-            dispatcher.adopt_report(now, report)
+        if dispatcher is None:
+            return ()
+        dispatcher.adopt_report(now, report)
+        return dispatcher.poll(now) if report.free > 0 else ()
 
     def _set_up(self, service: str) -> None:
         self._known[service] = frozenset()
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -82,6 +82,7 @@
             settings.cluster_key.encode(),
             self.gate,
             parts.desk.follow_report,
+            parts.proxy.deliver,
         )
         self._listeners = (
             *fittings.make_listeners(self.seating, self.page),
--- a/hillfield/node/reporting.py
+++ b/hillfield/node/reporting.py
@@ -12,13 +12,15 @@
 from hillfield.gate import Gate
 from hillfield.loadreports import LoadReport, ReportCodec, ReportPacer
 from hillfield.model import Address
+from hillfield.routing.requests import Verdict
 
 DATAGRAM_LIMIT: Final = 512
 TAKEN_AT_ONCE: Final = 64
 # Seconds for which an audience is kept before it is chosen anew.
 AUDIENCE_KEPT: Final = 1.0
 
-ReportTaker = Callable[[float, LoadReport], None]
+ReportTaker = Callable[[float, LoadReport], tuple[Verdict, ...]]
+Deliverer = Callable[[tuple[Verdict, ...]], None]
 
 
 class LoadReporting:
@@ -34,12 +36,14 @@
         key: bytes,
         gate: Gate,
         take: ReportTaker,
+        deliver: Deliverer,
     ) -> None:
         """Prepare; nothing is opened before `start`."""
         self._address = address
         self._codec = ReportCodec(key)
         self._gate = gate
-        self._take = take
+        self._follow = take
+        self._deliver = deliver
         self._pacer = ReportPacer()
         self._audience = Audience()
         self._chosen = -AUDIENCE_KEPT
@@ -97,6 +101,9 @@
             self._audience = choose_audience(core.own.record, others)
         return self._audience
 
+    def _take(self, now: float, report: LoadReport) -> None:
+        self._deliver(self._follow(now, report))
+
     def _receive(self) -> None:
         for _ in range(TAKEN_AT_ONCE):
             if self._socket is None:
--- a/hillfield/node/tests/test_reporting.py
+++ b/hillfield/node/tests/test_reporting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from types import SimpleNamespace
+from typing import Any
 
 from pytest import fixture
 
@@ -22,6 +23,7 @@
     def __init__(self, number, domain, port):
         self.address = Address(make_ip(number), port)
         self.heard = []
+        self.delivered: list[Any] = []
         self.gate = Gate(ListJournal())
         place = Locality('r', domain, f'h{number}')
         self.record = NodeRecord(
@@ -42,11 +44,13 @@
             KEY,
             self.gate,
             self.take,
+            self.delivered.extend,
         )
 
     def take(self, now, report):
         if report.ip != self.address.ip:
             self.heard.append(report)
+        return ()
 
     def meet(self, hosts):
         records = {host.record.name: host.record for host in hosts}
--- a/hillfield/routing/admission.py
+++ b/hillfield/routing/admission.py
@@ -4,7 +4,7 @@
 
 from hillfield.events import EventCode
 from hillfield.model import Step
-from hillfield.routing.placing import place
+from hillfield.routing.placing import place, place_waiting
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.queues import is_late
 from hillfield.routing.records import RequestRecord
@@ -61,7 +61,7 @@
             for record in service.queue.remove_late(now, service.latency())
         )
     while len(service.queue):
-        target = service.choose_for_waiting(now)
+        target = place_waiting(service, now, service.queue.peek())
         if target is None:
             break
         record = service.queue.pop()
--- a/hillfield/routing/budgets.py
+++ b/hillfield/routing/budgets.py
@@ -70,9 +70,8 @@
         self.retries = Bucket(policy.retry_burst, policy.retry_burst)
         self.sheds = Bucket(policy.shed_burst, policy.shed_burst)
         self.unsent = Bucket(UNSENT_BURST, UNSENT_BURST)
-        self.hedges = self.retries
-        if policy.hedge_budget is not None:
-            self.hedges = Bucket(HEDGE_BURST, 0)
+        self._own_hedges = Bucket(HEDGE_BURST, 0)
+        self.hedges = self._choose_hedges(policy)
         self._passed: float = 0
         self._accounts: OrderedDict[str, Bucket] = OrderedDict()
 
@@ -95,6 +94,7 @@
     def adopt(self, policy: ServicePolicy) -> None:
         """Take new bounds into force; what is saved up stays within them."""
         self._shed_cost = policy.shed_cost
+        self.hedges = self._choose_hedges(policy)
         self.retries.bound(policy.retry_burst)
         self.sheds.bound(policy.shed_burst)
 
@@ -117,6 +117,10 @@
         """Take a hedge from the service's budget."""
         return self.hedges.take()
 
+    def _choose_hedges(self, policy: ServicePolicy) -> Bucket:
+        shared = policy.hedge_budget is None
+        return self.retries if shared else self._own_hedges
+
     def _bucket(self, account: str) -> Bucket:
         bucket = self._accounts.get(account)
         if bucket is None:
--- a/hillfield/routing/dispatcher.py
+++ b/hillfield/routing/dispatcher.py
@@ -17,6 +17,7 @@
     Verdict,
 )
 from hillfield.routing.service import open_service
+from hillfield.routing.telling import tell_room
 from hillfield.routing.subsets import allow_connections, choose_subset
 
 
@@ -119,7 +120,7 @@
 
     def adopt_report(self, now: float, report: LoadReport) -> None:
         """Take what the gate of a target tells of its room."""
-        self._service.rooms.note(now, report)
+        tell_room(self._service, now, report)
 
     def tick(self, now: float) -> tuple[Occurrence, ...]:
         """Return what has changed since the last tick; call each 0.1 s."""
--- a/hillfield/routing/pauses.py
+++ b/hillfield/routing/pauses.py
@@ -1,6 +1,6 @@
 """Short pauses of targets that shed."""
 
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from random import Random
 from typing import Final
 
@@ -41,6 +41,15 @@
             load.tier.busy += load.limit
             load.tier.update(load)
 
+    def cancel(self, load: TargetLoad) -> None:
+        """End a target's pause now; the next one is short again."""
+        load.pauses = 0
+        kept = [entry for entry in self._ends if entry[2] is not load]
+        if len(kept) < len(self._ends):
+            self._ends = kept
+            heapify(kept)
+            _end(load)
+
     def next_end(self) -> float | None:
         """Return when the next pause ends; None without any."""
         return self._ends[0][0] if self._ends else None
@@ -48,8 +57,11 @@
     def end(self, now: float) -> None:
         """End the pauses whose time is over."""
         while self._ends and self._ends[0][0] <= now:
-            load = heappop(self._ends)[2]
-            load.paused = False
-            if load.tier is not None:
-                load.tier.busy -= load.limit
-                load.tier.update(load)
+            _end(heappop(self._ends)[2])
+
+
+def _end(load: TargetLoad) -> None:
+    load.paused = False
+    if load.tier is not None:
+        load.tier.busy -= load.limit
+        load.tier.update(load)
--- a/hillfield/routing/placing.py
+++ b/hillfield/routing/placing.py
@@ -24,13 +24,12 @@
     full = (*avoided, *service.rooms.list_full(now))
     choose = service.selector.choose
     found = choose(now, full, near=True)
-    if found is None and _comes_in_time(service, now, record):
-        found = choose(now, avoided, near=True)
-    if found is None:
-        found = choose(now, full) or choose(now, avoided, near=True)
-    if found is None:
-        found = choose(now, avoided) or choose(now, excluded)
-    return found
+    if found is not None:
+        return found
+    if _comes_in_time(service, now, record):
+        return choose(now, avoided, near=True)
+    found = choose(now, full) or choose(now, avoided, near=True)
+    return found or choose(now, avoided) or choose(now, excluded)
 
 
 def _comes_in_time(
@@ -57,3 +56,24 @@
             turns = (room.waiting + 1) / load.target.slots
             waits.append(turns * mean)
     return min(waits, default=None)
+
+
+def place_waiting(
+    service: Service,
+    now: float,
+    record: RequestRecord,
+) -> Target | None:
+    """Return the target for a request that has waited here."""
+    service.selector.adopt(service.board.rotation())
+    return choose_freed(service, now, ()) or place(service, now, record)
+
+
+def choose_freed(
+    service: Service,
+    now: float,
+    excluded: tuple[TargetId, ...],
+) -> Target | None:
+    """Return the target that has just answered, unless gates tell of room."""
+    if service.rooms.are_known(now):
+        return None
+    return service.selector.choose_freed(now, excluded)
--- a/hillfield/routing/queues.py
+++ b/hillfield/routing/queues.py
@@ -38,6 +38,10 @@
         self._lines.setdefault(account, deque()).append(record)
         self._length += 1
 
+    def peek(self) -> RequestRecord:
+        """Return the request whose turn it is."""
+        return next(iter(self._lines.values()))[0]
+
     def pop(self) -> RequestRecord:
         """Take the first request of the account whose turn it is."""
         account, line = next(iter(self._lines.items()))
--- a/hillfield/routing/recovery.py
+++ b/hillfield/routing/recovery.py
@@ -4,6 +4,7 @@
 
 from hillfield.model import TargetId
 from hillfield.routing.hedging import hedge_again
+from hillfield.routing.placing import choose_freed
 from hillfield.routing.phases import (
     AttemptAction,
     AttemptPhase,
@@ -174,7 +175,7 @@
     if _is_patient(record, reading) and now < record.queued_at + patience:
         target = service.selector.choose_freed(now, excluded)
     else:
-        freed = service.selector.choose_freed(now, excluded)
+        freed = choose_freed(service, now, excluded)
         target = freed or choose_again(service, now, record, excluded)
     return None if target is None else service.send(now, record, target)
 
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -117,16 +117,6 @@
         )
         return (*told, *untold)
 
-    def choose_for_waiting(
-        self,
-        now: float,
-        excluded: tuple[TargetId, ...] = (),
-    ) -> Target | None:
-        """Choose a target for a request that has waited."""
-        self.selector.adopt(self.board.rotation())
-        freed = self.selector.choose_freed(now, excluded)
-        return freed or self.choose(now, excluded)
-
     def send(self, now: float, record: RequestRecord, target: Target) -> Send:
         """Start an attempt."""
         self.selector.note_sent(target.id)
--- a/hillfield/routing/telling.py
+++ b/hillfield/routing/telling.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from hillfield.loadreports.reports import LoadReport
 from hillfield.routing.declining import Declined
 from hillfield.routing.phases import AttemptTrigger
 from hillfield.routing.readings import Reading
@@ -39,7 +40,7 @@
     identity = attempt.target.id
     _note_duration(service, now, attempt, reading)
     service.selector.note_ended(now, identity, seconds, reading.failed)
-    if reading.trigger in OVERLOADED:
+    if _is_to_pause(service, attempt, reading):
         service.selector.pause(now, identity)
     if isinstance(observation, Declined) and observation.lasting:
         service.reluctance.note(now, identity)
@@ -49,6 +50,14 @@
         service.pace.note_departure(now, service.waiting() > 0)
 
 
+def tell_room(service: Service, now: float, report: LoadReport) -> None:
+    """Tell what is kept of a target what its gate tells of its room."""
+    service.rooms.note(now, report)
+    load = service.selector.loads.get(report.target)
+    if load is not None and report.free > 0:
+        service.selector.pauses.cancel(load)
+
+
 def _note_duration(
     service: Service,
     now: float,
@@ -63,3 +72,17 @@
     if reading.trigger in TIMED:
         plan = attempt.record.arrival.plan
         service.durations.find(plan).note(now - attempt.started)
+
+
+def _is_to_pause(
+    service: Service,
+    attempt: AttemptRecord,
+    reading: Reading,
+) -> bool:
+    """Tell whether a target gets less for a while.
+
+    A time-out says nothing of the room where its gate tells of that itself.
+    """
+    if reading.trigger is AttemptTrigger.TIMED_OUT:
+        return service.rooms.find(attempt.target.id) is None
+    return reading.trigger in OVERLOADED
