Count ages with caution, ask for trials, add a model of calling services

Cause, by a model of such a deployment that plays the product's own code at both ends: 138 well targets were held back for 25 sick ones, since an age is looked at all the while and the worst moment of each request told against its target; half of the capacity of claims was held back. Half of the second attempts found no budget; calls of 0.11 s were refused for the length of other requests.

Evidence by age counts 0.6; gates ask for a trial when they want one; one that is merely suspected nearby goes before a way across; needs are those of the route; a second attempt is tried again each 0.1 s.

--- /dev/null
+++ b/hillfield/experiments/calling/__init__.py
@@ -0,0 +1,1 @@
+"""A deployment of services that call each other, in modelled time."""
--- /dev/null
+++ b/hillfield/experiments/calling/courses.py
@@ -0,0 +1,250 @@
+"""The course of a request: at its origin, on its way and at a gate."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING
+
+from hillfield.events import EventCode
+from hillfield.experiments.calling.deployment import Kind
+from hillfield.experiments.calling.targets import ERROR, OK, Run
+from hillfield.model import Outcome, RequestPlan
+from hillfield.proxy.running import HEDGE_AGAIN
+from hillfield.routing.declining import Declined
+from hillfield.routing.requests import (
+    Answered,
+    Arrival,
+    CallerGone,
+    Observation,
+    Refuse,
+    Send,
+    TimedOut,
+    Verdict,
+)
+
+if TYPE_CHECKING:
+    from hillfield.experiments.calling.hosts import Host
+
+
+class Course:
+    """Follow a request at the node where it began."""
+
+    def __init__(
+        self,
+        host: 'Host',
+        kind: Kind,
+        name: str,
+        deadline: float,
+        end: Callable[[str], None],
+    ) -> None:
+        """Prepare; `end` is told `ok`, `refused` or `failed`."""
+        self.name = name
+        self.kind = kind
+        self.closed = False
+        self.hops: dict[int, Hop] = {}
+        self.host = host
+        self.expires = host.clock.now + deadline
+        self._end = end
+        self._dispatcher = host.find_dispatcher(kind.plan.service)
+        self._launched = 0
+
+    def start(self) -> None:
+        """Ask for admission."""
+        now = self.host.clock.now
+        self.host.courses[self.name] = self
+        self.host.clock.call_at(self.expires, self._expire)
+        arrival = Arrival(self.name, self.kind.plan, self.expires, True)
+        self.take(self._dispatcher.admit(now, arrival))
+
+    def take(self, verdict: Verdict) -> None:
+        """Do what has been decided."""
+        match verdict:
+            case Send() if self.closed:
+                now = self.host.clock.now
+                self._dispatcher.finish(now, verdict.attempt, CallerGone())
+            case Send():
+                self._launch(verdict)
+            case Refuse():
+                told = verdict.failure.outcome
+                refused = told is Outcome.NOT_RUN
+                self._close('refused' if refused else 'failed')
+
+    def note_end(self, hop: 'Hop', observation: Observation) -> None:
+        """Act on the end of an attempt."""
+        if hop.over:
+            return
+        hop.over = True
+        self.hops.pop(hop.send.attempt, None)
+        now = self.host.clock.now
+        verdict = self._dispatcher.finish(now, hop.send.attempt, observation)
+        if isinstance(observation, Answered) and not isinstance(verdict, Send):
+            good = observation.status == OK
+            if good or not self.hops:
+                self._close('ok' if good else 'failed')
+        else:
+            self.take(verdict)
+        self.host.poll(self._dispatcher)
+
+    def _launch(self, send: Send) -> None:
+        hop = Hop(self, send)
+        self.hops[send.attempt] = hop
+        self._dispatcher.note_written(self.host.clock.now, send.attempt)
+        hop.depart()
+        self._launched += 1
+        delay = self._dispatcher.find_hedge_delay(self.kind.plan)
+        if delay is not None:
+            hedge = partial(self._hedge, self._launched)
+            self.host.clock.call_later(delay, hedge)
+
+    def _hedge(self, launched: int) -> None:
+        if self.closed or launched != self._launched or not self.hops:
+            return
+        send = self._dispatcher.hedge(self.host.clock.now, self.name)
+        if send is not None:
+            self._launch(send)
+            return
+        again = partial(self._hedge, launched)
+        self.host.clock.call_later(HEDGE_AGAIN, again)
+
+    def _expire(self) -> None:
+        if self.closed:
+            return
+        now = self.host.clock.now
+        if not self.hops:
+            self._dispatcher.leave(now, self.name)
+        for hop in tuple(self.hops.values()):
+            hop.over = True
+            self._dispatcher.finish(now, hop.send.attempt, TimedOut())
+        self._close('failed')
+
+    def _close(self, how: str) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.host.courses.pop(self.name, None)
+        now = self.host.clock.now
+        for hop in tuple(self.hops.values()):
+            if not hop.over:
+                hop.over = True
+                self._dispatcher.finish(now, hop.send.attempt, CallerGone())
+            hop.cancel()
+        self.hops.clear()
+        if how != 'ok':
+            self.host.gate.calls.note(now, self.kind.plan.service)
+        self._end(how)
+
+
+class Hop:
+    """Follow one attempt on its way to a gate, there and back."""
+
+    def __init__(self, course: Course, send: Send) -> None:
+        """Prepare."""
+        self.send = send
+        self.over = False
+        self._course = course
+        self._key = f'{course.name}/{send.attempt}'
+        self._gone = False
+        self._work: Send | None = None
+        self._run: Run | None = None
+        self._host = course.host.network.find_host(send.address)
+        self._delay = course.host.network.find_delay(course.host, self._host)
+
+    def depart(self) -> None:
+        """Go to the gate."""
+        self._note_bytes(self._course.kind.request_size)
+        self._clock.call_later(self._delay, self._reach)
+
+    def cancel(self) -> None:
+        """Leave: the gate sees the connection close."""
+        self._clock.call_later(self._delay, self._leave)
+
+    def obey(self, verdict: Verdict) -> None:
+        """Do what the gate has decided."""
+        if isinstance(verdict, Refuse):
+            event = verdict.failure.event
+            declined = Declined(
+                verdict.failure.detail,
+                verdict.failure.retry_after,
+                event == int(EventCode.TARGET_HELD_BACK),
+            )
+            self._gone = True
+            self._answer(declined, 0)
+        elif isinstance(verdict, Send):
+            self._work = verdict
+            self._host.count_arrival(self._course.name, self._course.kind)
+            self._run = self._host.target.start(
+                self._course.kind,
+                self._course.expires,
+                self._finish,
+            )
+            self._clock.call_at(self._course.expires, self._time_out)
+
+    @property
+    def _clock(self):  # type: ignore[no-untyped-def]
+        return self._course.host.clock
+
+    def _reach(self) -> None:
+        if self._gone:
+            return
+        self._host.hops[self._key] = self
+        now = self._clock.now
+        arrival = Arrival(self._key, self._plan(), self._course.expires, True)
+        self.obey(self._host.gate.admit(now, arrival))
+
+    def _plan(self) -> RequestPlan:
+        plan = self._course.kind.plan
+        return RequestPlan(
+            plan.service,
+            plan.route,
+            '',
+            plan.idempotent,
+            3600,
+            maximum_attempts=1,
+            priority=plan.priority,
+            trial=self.send.trial,
+            urgency=self.send.urgency,
+            aim=plan.aim,
+            spent=self.send.spent,
+        )
+
+    def _finish(self, status: int) -> None:
+        wrong = 'status' if status == ERROR else ''
+        idempotent = self._course.kind.plan.idempotent
+        answered = Answered(status, wrong if idempotent else '')
+        self._end_work(Answered(status))
+        self._answer(answered, self._course.kind.answer_size)
+
+    def _time_out(self) -> None:
+        if self._work is not None and not self._gone:
+            self._cut(TimedOut())
+
+    def _leave(self) -> None:
+        if self._gone:
+            return
+        if self._work is not None:
+            self._cut(CallerGone())
+            return
+        self._gone = True
+        self._host.gate.leave(self._clock.now, self._key)
+
+    def _cut(self, observation: Observation) -> None:
+        if self._run is not None:
+            self._run.cut = True
+        self._end_work(observation)
+
+    def _end_work(self, observation: Observation) -> None:
+        work = self._work
+        if work is None or self._gone:
+            return
+        self._gone = True
+        self._host.hops.pop(self._key, None)
+        self._host.gate.finish(self._clock.now, work.attempt, observation)
+        self._host.poll_gate()
+
+    def _answer(self, observation: Observation, size: int) -> None:
+        self._note_bytes(size)
+        end = partial(self._course.note_end, self, observation)
+        self._clock.call_later(self._delay, end)
+
+    def _note_bytes(self, size: int) -> None:
+        network = self._course.host.network
+        network.note_bytes(self._course.host, self._host, size)
--- /dev/null
+++ b/hillfield/experiments/calling/hosts.py
@@ -0,0 +1,207 @@
+"""Hosts with a node and a target each, and the network between them."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from hillfield.detection.paths import PathBoard
+from hillfield.events import ListJournal
+from hillfield.experiments.calling.clock import Clock
+from hillfield.experiments.calling.courses import Course, Hop
+from hillfield.experiments.calling.deployment import Deployment, Kind
+from hillfield.experiments.calling.targets import ModelTarget
+from hillfield.gate import Gate, Seat
+from hillfield.hostroutes.allowances import make_policy
+from hillfield.loadreports import LoadReport, ReportPacer
+from hillfield.model import Address, Locality, Target, TargetId
+from hillfield.routing import Dispatcher, DispatcherTable
+
+REPEAT_RATIO: Final = 0.2
+FLOOR: Final = 0.7
+TICK: Final = 0.2
+GATE_TICK: Final = 0.1
+# Seconds one way within a failure domain and between two.
+NEAR: Final = 0.0007
+FAR: Final = 0.0015
+# Bytes of a head each way, and of a load report, with those of TCP and IP.
+HEAD: Final = 500
+REPORT: Final = 100
+
+
+@dataclass(slots=True)
+class Network:
+    """Find hosts, and count what goes between failure domains."""
+
+    clock: Clock
+    hosts: 'dict[Address, Host]'
+    crossing: Counter[str]
+
+    def find_host(self, address: Address) -> 'Host':
+        """Return the host of a target."""
+        return self.hosts[address]
+
+    def find_delay(self, one: 'Host', other: 'Host') -> float:
+        """Return the seconds from one host to another."""
+        return NEAR if one.domain == other.domain else FAR
+
+    def note_bytes(self, one: 'Host', other: 'Host', size: int) -> None:
+        """Count what a request or an answer brings across."""
+        if one.domain != other.domain:
+            self.crossing['requests'] += HEAD + size
+
+    def spread(self, host: 'Host', report: LoadReport, far: bool) -> None:
+        """Bring a report to the nodes of the own domain, or of the others."""
+        for other in self.hosts.values():
+            if (other.domain != host.domain) is far:
+                self.clock.call_later(
+                    FAR if far else NEAR,
+                    _Delivery(other, report),
+                )
+        if far:
+            self.crossing['reports'] += 2 * REPORT
+
+
+@dataclass(frozen=True, slots=True)
+class _Delivery:
+    """Bring a report to a host."""
+
+    host: 'Host'
+    report: LoadReport
+
+    def __call__(self) -> None:
+        """Take it in there."""
+        self.host.take_report(self.report)
+
+
+class Host:
+    """Run the decisions of one node, and its target."""
+
+    def __init__(
+        self,
+        network: Network,
+        target: Target,
+        deployment: Deployment,
+        random: Random,
+    ) -> None:
+        """Start with a target in its seat."""
+        self.network = network
+        self.clock = network.clock
+        self.domain = target.locality.failure_domain
+        self.service = target.id.service
+        self.courses: dict[str, Course] = {}
+        self.hops: dict[str, Hop] = {}
+        self.arrivals: list[tuple[float, str, str]] = []
+        self.gate = Gate(ListJournal())
+        self.gate.take_seat(Seat(target, str(target.id)))
+        self.target = ModelTarget(
+            self.clock,
+            deployment.spells,
+            random,
+            self._call,
+        )
+        self._kinds = {kind.plan.route: kind for kind in deployment.kinds}
+        self._table = DispatcherTable(target.locality, PathBoard, random)
+        self._pacer = ReportPacer()
+        self._slots = target.slots
+        self._calls = 0
+        self.gate.listener = self._report
+
+    def join(self, targets: tuple[Target, ...]) -> None:
+        """Learn of all targets, and begin to tick."""
+        self._table.adopt_nodes(0, len(targets))
+        policy = make_policy(REPEAT_RATIO, FLOOR)
+        for service in {target.id.service for target in targets}:
+            own = tuple(one for one in targets if one.id.service == service)
+            dispatcher = self._table.for_service(service)
+            dispatcher.adopt_policy(0, policy)
+            self._table.adopt_targets(0, service, own)
+        self._tick()
+        self._tick_gate()
+
+    def find_dispatcher(self, service: str) -> Dispatcher:
+        """Return the decisions of a service here."""
+        return self._table.for_service(service)
+
+    def ask(
+        self,
+        route: str,
+        name: str,
+        deadline: float,
+        end: Callable[[str], None],
+    ) -> None:
+        """Begin a request of a caller of this host."""
+        kind = self._kinds[route]
+        seconds = min(deadline, kind.plan.deadline)
+        Course(self, kind, name, seconds, end).start()
+
+    def poll(self, dispatcher: Dispatcher) -> None:
+        """Move on what waits at this node."""
+        for verdict in dispatcher.poll(self.clock.now):
+            course = self.courses.get(verdict.request)
+            if course is not None:
+                course.take(verdict)
+
+    def poll_gate(self) -> None:
+        """Move on what waits at the gate."""
+        for verdict in self.gate.poll(self.clock.now):
+            hop = self.hops.get(verdict.request)
+            if hop is not None:
+                hop.obey(verdict)
+
+    def count_arrival(self, name: str, kind: Kind) -> None:
+        """Note that the target gets a request."""
+        self.arrivals.append((self.clock.now, name, kind.plan.service))
+
+    def take_report(self, report: LoadReport) -> None:
+        """Take in what a gate tells."""
+        dispatcher = self._table.find(report.service)
+        if dispatcher is not None:
+            dispatcher.adopt_report(self.clock.now, report)
+            if report.free > 0:
+                self.poll(dispatcher)
+
+    def _call(
+        self,
+        route: str,
+        left: float,
+        end: Callable[[bool], None],
+    ) -> None:
+        self._calls += 1
+        name = f'{self.gate.seat}.{self._calls}'
+        self.ask(route, name, left, lambda how: end(how == 'ok'))
+
+    def _report(self, now: float) -> None:
+        report = self.gate.report(now)
+        if report is None:
+            return
+        listeners = len(self.network.hosts) // 3
+        self.take_report(report)
+        if self._pacer.is_due_near(now, report, self._slots, listeners):
+            self.network.spread(self, report, far=False)
+        if self._pacer.is_due_far(now, report):
+            self.network.spread(self, report, far=True)
+
+    def _tick(self) -> None:
+        now = self.clock.now
+        self._table.tick(now)
+        for service in self._table.services():
+            self.poll(self._table.for_service(service))
+        self.clock.call_later(TICK, self._tick)
+
+    def _tick_gate(self) -> None:
+        self.poll_gate()
+        self.clock.call_later(GATE_TICK, self._tick_gate)
+
+
+def make_target(
+    service: str,
+    domain: str,
+    number: int,
+    slots: int,
+) -> Target:
+    """Return the target of a host."""
+    address = Address(f'10.0.0.{number}', 80)
+    place = Locality('r', domain, f'h{number}')
+    return Target(TargetId(service, address, 1), place, slots, 360)
--- /dev/null
+++ b/hillfield/experiments/calling/play.py
@@ -0,0 +1,140 @@
+"""Play a deployment for some seconds and tell what its callers got."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from functools import partial
+from itertools import count
+from random import Random
+from typing import Final
+
+from hillfield.experiments.calling.clock import Clock
+from hillfield.experiments.calling.deployment import Deployment, Kind
+from hillfield.experiments.calling.hosts import Host, Network, make_target
+
+DOMAINS: Final = 'abc'
+# Seconds in which targets' repeats are counted.
+WINDOW: Final = 10.0
+# Seconds at the end in which no request begins.
+CLOSING: Final = 5.0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Count what became of the requests of each kind.
+
+    `crossing` is bytes between failure domains, `repeats` the most that a
+    service got within 10 s, `worked` slot-seconds by how they ended.
+    """
+
+    counts: dict[str, Counter[str]] = field(default_factory=dict)
+    crossing: Counter[str] = field(default_factory=Counter)
+    repeats: Counter[str] = field(default_factory=Counter)
+    earned: float = 0
+    owed: float = 0
+
+    def share(self, *ends: str) -> float:
+        """Return the share of all requests with such ends."""
+        whole = sum(counter.total() for counter in self.counts.values())
+        found = sum(
+            counter[end] for counter in self.counts.values() for end in ends
+        )
+        return found / whole if whole else 0
+
+
+def play(deployment: Deployment, seconds: float, seed: int) -> Outcome:
+    """Play with this seed; equal seeds give equal outcomes."""
+    return _Play(deployment, seed).run(seconds)
+
+
+class _Play:
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self._deployment = deployment
+        self._random = Random(seed)
+        self._clock = Clock()
+        self._outcome = Outcome()
+        self._numbers = count()
+        self._network = Network(self._clock, {}, self._outcome.crossing)
+        self._build()
+
+    def run(self, seconds: float) -> Outcome:
+        for kind in self._deployment.kinds:
+            if kind.rate:
+                self._outcome.counts[kind.plan.route] = Counter()
+                self._await_next(kind, seconds - CLOSING)
+        self._clock.run(seconds)
+        self._count_repeats()
+        return self._outcome
+
+    def _build(self) -> None:
+        targets = []
+        numbers = count(1)
+        for service, amounts in self._deployment.targets:
+            for domain, amount in zip(DOMAINS, amounts, strict=True):
+                for _ in range(amount):
+                    target = make_target(
+                        service,
+                        domain,
+                        next(numbers),
+                        self._deployment.slots,
+                    )
+                    targets.append(target)
+        for target in targets:
+            self._network.hosts[target.id.address] = Host(
+                self._network,
+                target,
+                self._deployment,
+                self._random,
+            )
+        for host in self._network.hosts.values():
+            host.join(tuple(targets))
+
+    def _await_next(self, kind: Kind, until: float) -> None:
+        factor, begin, end = self._deployment.load
+        rate = kind.rate
+        if begin <= self._clock.now < end:
+            rate *= factor
+        pause = self._random.expovariate(rate)
+        if self._clock.now + pause < until:
+            begin_request = partial(self._begin, kind, until)
+            self._clock.call_later(pause, begin_request)
+
+    def _begin(self, kind: Kind, until: float) -> None:
+        self._await_next(kind, until)
+        domain = self._random.choice(DOMAINS)
+        hosts = [
+            host
+            for host in self._network.hosts.values()
+            if host.domain == domain
+        ]
+        name = f'r{next(self._numbers)}'
+        begun = self._clock.now
+        self._random.choice(hosts).ask(
+            kind.plan.route,
+            name,
+            kind.plan.deadline,
+            partial(self._note_end, kind, begun),
+        )
+
+    def _note_end(self, kind: Kind, begun: float, how: str) -> None:
+        late = self._clock.now - begun > kind.plan.aim
+        if how == 'ok' and late:
+            how = 'late'
+        self._outcome.counts[kind.plan.route][how] += 1
+        self._outcome.owed += kind.worth
+        self._outcome.earned += kind.worth * {'ok': 1, 'late': 0.1}.get(how, 0)
+
+    def _count_repeats(self) -> None:
+        arrivals = sorted(
+            arrival
+            for host in self._network.hosts.values()
+            for arrival in host.arrivals
+        )
+        seen: set[str] = set()
+        windows: Counter[tuple[str, int]] = Counter()
+        for moment, name, service in arrivals:
+            if name in seen:
+                windows[service, int(moment / WINDOW)] += 1
+            seen.add(name)
+        for (service, _), amount in windows.items():
+            known = self._outcome.repeats[service]
+            self._outcome.repeats[service] = max(known, amount)
--- a/hillfield/gate/suspicion.py
+++ b/hillfield/gate/suspicion.py
@@ -16,6 +16,9 @@
 # 100 takes several times as long as its route does (site files). So one
 # request alone never convicts a target.
 LEAST_SHARE: Final = 0.01
+# Part of the evidence that is counted: an age is looked at all the while, and
+# the worst moment of each request would tell against its target.
+CAUTION: Final = 0.6
 # Share of a route's requests that take longer than a trial may, before it
 # counts as one that failed, and than a good answer that clears its target.
 LATE_SHARE: Final = 0.03
@@ -24,7 +27,7 @@
 EARLY_SHARE: Final = 0.5
 # The score of what is under way from which work that runs once goes elsewhere
 # if it can: such ages are 7 times likelier at a target that hangs.
-DOUBT_SCORE: Final = 2.0
+DOUBT_SCORE: Final = 1.2
 
 
 def weigh_running(state: GateState, now: float) -> float:
@@ -39,7 +42,7 @@
 def weigh_age(state: GateState, now: float, attempt: AttemptRecord) -> float:
     """Return how much likelier such an age is at a sick target, as a log."""
     share = max(LEAST_SHARE, find_share(state, now, attempt))
-    return log((SICK_RATE + (1 - SICK_RATE) * share) / share)
+    return CAUTION * log((SICK_RATE + (1 - SICK_RATE) * share) / share)
 
 
 def find_share(state: GateState, now: float, attempt: AttemptRecord) -> float:
--- a/hillfield/gate/tests/test_suspicion.py
+++ b/hillfield/gate/tests/test_suspicion.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from random import Random
 from statistics import mean
+from typing import Any
 
 from pytest import fixture
 
@@ -197,7 +198,7 @@
         if not isinstance(verdict, Send):
             return
         seconds = self.random.lognormvariate(0, 0.6) * middle
-        ending = Answered(200)
+        ending: Any = Answered(200)
         if now >= 5 and self.random.random() < HANGING:
             self.swallowed += not plan.idempotent
             seconds = plan.deadline
--- a/hillfield/hostroutes/allowances.py
+++ b/hillfield/hostroutes/allowances.py
@@ -12,7 +12,7 @@
 # which the fleet's are counted, 30 nodes whose requests all hang send at most
 # 66; the fleet may send 60 and a fifth of its requests (site files: 56 over 21
 # hosts, 64 over 31, 204 over 99).
-BURST: Final = 1.2
+BURST: Final = 2.0
 RATE: Final = 0.1
 # Requests that may wait at one node: 2 s of work of a site's busiest node.
 QUEUE_LIMIT: Final = 64
--- a/hillfield/node/tests/test_reporting.py
+++ b/hillfield/node/tests/test_reporting.py
@@ -54,15 +54,11 @@
 
     def meet(self, hosts):
         records = {host.record.name: host.record for host in hosts}
-        self.reporting.join(
-            SimpleNamespace(
-                own=SimpleNamespace(record=self.record),
-                book=SimpleNamespace(
-                    alive=frozenset(records),
-                    records=records,
-                ),
-            ),
+        core: Any = SimpleNamespace(
+            own=SimpleNamespace(record=self.record),
+            book=SimpleNamespace(alive=frozenset(records), records=records),
         )
+        self.reporting.join(core)
         self.gate.take_seat(Seat(self.target, 'i'))
         # Choose the audience: nothing is told before.
         self.reporting.note(0)
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -3,6 +3,7 @@
 from asyncio import Task, TimerHandle, create_task, get_running_loop
 from functools import partial
 from time import monotonic
+from typing import Final
 
 from hillfield.events import EventCode, Occurrence
 from hillfield.model import RequestFailure
@@ -24,6 +25,10 @@
     Verdict,
 )
 
+# Seconds after which a second attempt that found neither target nor budget is
+# tried again: slots come free about so often.
+HEDGE_AGAIN: Final = 0.1
+
 
 class RunningAttempts:
     """Start attempts, and tell the dispatcher of each end exactly once.
@@ -115,8 +120,10 @@
 
     def _time_hedge(self, owner: AttemptOwner) -> None:
         delay = self._dispatching.find_hedge_delay(self._order.plan)
-        if delay is None:
-            return
+        if delay is not None:
+            self._await_hedge(delay, owner)
+
+    def _await_hedge(self, delay: float, owner: AttemptOwner) -> None:
         if self._hedge_timer is not None:
             self._hedge_timer.cancel()
         self._hedge_timer = get_running_loop().call_later(
@@ -134,6 +141,7 @@
             return
         send = self._dispatching.hedge(monotonic(), self._order.passage.key)
         if send is None:
+            self._await_hedge(HEDGE_AGAIN, owner)
             return
         self._context.journal.record(
             Occurrence(
--- a/hillfield/routing/admission.py
+++ b/hillfield/routing/admission.py
@@ -58,7 +58,7 @@
         service.scanned = now
         verdicts.extend(
             refuse(service, record, describe_expiry())
-            for record in service.queue.remove_late(now, service.latency())
+            for record in service.queue.remove_late(now, service.find_usual)
         )
     while len(service.queue):
         target = place_waiting(service, now, service.queue.peek())
@@ -116,7 +116,7 @@
 
 
 def _is_late(service: Service, start: float, record: RequestRecord) -> bool:
-    return is_late(start, service.latency(), record)
+    return is_late(start, service.find_usual(record), record)
 
 
 def _find_excess(service: Service, own: int, wait: float) -> Cause | None:
--- a/hillfield/routing/hedging.py
+++ b/hillfield/routing/hedging.py
@@ -8,11 +8,10 @@
 from typing import Final
 
 from hillfield.model import RequestPlan
-from hillfield.routing.placing import place
+from hillfield.routing.placing import place_hedge
 from hillfield.routing.phases import RequestPhase
 from hillfield.routing.records import RequestRecord
 from hillfield.routing.requests import Send
-from hillfield.routing.reselection import choose_again
 from hillfield.routing.service import Service
 
 SENT_PHASES: Final = frozenset(
@@ -51,7 +50,7 @@
         and not service.waiting()
         and service.budget.hedges.can_take()
     )
-    target = place(service, now, record, record.tried) if possible else None
+    target = place_hedge(service, now, record) if possible else None
     if target is None:
         return None
     service.budget.take_hedge()
@@ -67,7 +66,7 @@
     """Send an attempt that a gate has declined on, while another lives."""
     if not (_may_hedge(record) and record.may_try_again()):
         return None
-    target = choose_again(service, now, record, record.tried)
+    target = place_hedge(service, now, record)
     return None if target is None else service.send(now, record, target)
 
 
--- a/hillfield/routing/placing.py
+++ b/hillfield/routing/placing.py
@@ -17,18 +17,65 @@
     excluded: tuple[TargetId, ...] = (),
 ) -> Target | None:
     """Return the target for the next attempt; None: none can take it."""
+    trial = service.is_trial(record)
     if not service.rooms.are_known(now):
-        return service.choose(now, excluded, trial=service.is_trial(record))
+        return service.choose(now, excluded, trial=trial)
     service.selector.adopt(service.board.rotation())
-    avoided = (*excluded, *service.list_held(now, record))
-    full = (*avoided, *service.rooms.list_full(now))
+    if trial:
+        found = _find_trial(service, now, excluded)
+        if found is not None:
+            return found
+    return _place_usual(service, now, record, excluded)
+
+
+def place_hedge(
+    service: Service,
+    now: float,
+    record: RequestRecord,
+) -> Target | None:
+    """Return a target with room for a second attempt beside the first."""
+    if not service.rooms.are_known(now):
+        return service.choose(now, record.tried)
+    held = service.list_held(now, record)
+    full = (*record.tried, *held, *service.rooms.list_full(now))
+    choose = service.selector.choose
+    return choose(now, full, near=True) or choose(now, full)
+
+
+def _find_trial(
+    service: Service,
+    now: float,
+    excluded: tuple[TargetId, ...],
+) -> Target | None:
+    """Return a target nearby whose gate asks for a trial."""
+    wanting = service.rooms.list_wanting(now)
+    others = (
+        target for target in service.selector.loads if target not in wanting
+    )
+    if not wanting:
+        return None
+    return service.selector.choose(now, (*excluded, *others), near=True)
+
+
+def _place_usual(
+    service: Service,
+    now: float,
+    record: RequestRecord,
+    excluded: tuple[TargetId, ...],
+) -> Target | None:
     choose = service.selector.choose
-    found = choose(now, full, near=True)
+    full = (*excluded, *service.rooms.list_full(now))
+    doubted = service.list_held(now, record)
+    shunned = service.rooms.list_shunned(now)
+    found = choose(now, (*full, *doubted), near=True)
+    # One that is merely suspected nearby goes before a way across.
+    found = found or choose(now, (*full, *shunned), near=True)
     if found is not None:
         return found
+    avoided = (*excluded, *doubted)
     if _comes_in_time(service, now, record):
         return choose(now, avoided, near=True)
-    found = choose(now, full) or choose(now, avoided, near=True)
+    found = choose(now, (*full, *doubted)) or choose(now, avoided, near=True)
     return found or choose(now, avoided) or choose(now, excluded)
 
 
--- a/hillfield/routing/queues.py
+++ b/hillfield/routing/queues.py
@@ -1,6 +1,7 @@
 """Requests that wait for a slot, fair between client accounts."""
 
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from typing import Final
 
 from hillfield.routing.records import RequestRecord
@@ -84,16 +85,20 @@
         self.remove(record)
         return record
 
-    def remove_late(self, now: float, need: float) -> tuple[RequestRecord, ...]:
+    def remove_late(
+        self,
+        now: float,
+        find_need: Callable[[RequestRecord], float],
+    ) -> tuple[RequestRecord, ...]:
         """Take out the requests that can no longer be answered in time.
 
-        `need` is seconds that an attempt takes.
+        `find_need` tells the seconds that an attempt of one takes.
         """
         late = tuple(
             record
             for line in self._lines.values()
             for record in line
-            if is_late(now, need, record)
+            if is_late(now, find_need(record), record)
         )
         for record in late:
             self.remove(record)
--- a/hillfield/routing/rooms.py
+++ b/hillfield/routing/rooms.py
@@ -77,6 +77,19 @@
             target for target, room in self._rooms.items() if room.free <= 0
         )
 
+    def list_shunned(self, now: float) -> tuple[TargetId, ...]:
+        """Return the targets whose gates hold back all usual work."""
+        return self._list_from(now, Held.USUAL)
+
+    def list_wanting(self, now: float) -> frozenset[TargetId]:
+        """Return the targets whose gates ask for a trial."""
+        self._forget(now)
+        return frozenset(
+            target
+            for target, room in self._rooms.items()
+            if room.held is Held.USUAL
+        )
+
     def list_held(
         self,
         now: float,
@@ -89,8 +102,10 @@
         """
         self._forget(now)
         least = Held.USUAL if plan.idempotent else Held.ONCE
-        if trial:
-            least = Held.ALL
+        return self._list_from(now, Held.ALL if trial else least)
+
+    def _list_from(self, now: float, least: Held) -> tuple[TargetId, ...]:
+        self._forget(now)
         return tuple(
             target for target, room in self._rooms.items() if room.held >= least
         )
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Final
 
+from hillfield.loadreports.reports import Held
 from hillfield.model import (
     Locality,
     ServicePolicy,
@@ -29,6 +30,8 @@
 SHARE_OF_RETRY: Final = 0.5
 
 MILLISECOND_DIGITS: Final = 3
+# Standard deviations above the median that one attempt in ten exceeds.
+FEW: Final = 1.28
 
 
 @dataclass(slots=True)
@@ -119,13 +122,15 @@
 
     def send(self, now: float, record: RequestRecord, target: Target) -> Send:
         """Start an attempt."""
+        room = self.rooms.find(target.id)
+        settles = room is not None and room.held is Held.ONCE
         self.selector.note_sent(target.id)
         self.rooms.take(target.id)
         send = self.ledger.start(now, record, target)
         return replace(
             send,
             trial=self._may_follow(record, record.sent),
-            urgency=find_urgency(now, record),
+            urgency=find_urgency(now, record, settles),
             spent=round(record.find_spent(now), MILLISECOND_DIGITS),
         )
 
@@ -157,7 +162,18 @@
 
     def need(self, record: RequestRecord) -> float:
         """Return the seconds that another attempt takes as a rule."""
-        return record.bound_need(self.latency(), SHARE_OF_RETRY)
+        return record.bound_need(self.find_usual(record), SHARE_OF_RETRY)
+
+    def find_usual(self, record: RequestRecord) -> float:
+        """Return the seconds that few attempts of such a request exceed.
+
+        Calls that take a tenth of what other requests to the service take
+        must not be refused for the length of those.
+        """
+        plan = record.arrival.plan
+        if plan.aim:
+            return self.durations.find(plan).find_quantile(FEW)
+        return self.latency()
 
     def latency(self) -> float:
         """Return the seconds that few attempts exceed."""
--- a/hillfield/routing/tests/test_placing.py
+++ b/hillfield/routing/tests/test_placing.py
@@ -1,6 +1,7 @@
 """Where requests go, by what gates tell of their targets' room."""
 
 from random import Random
+from typing import Any
 
 from pytest import fixture
 
@@ -79,7 +80,7 @@
     def learn(self, seconds):
         for step in range(20):
             arrival = Arrival(f'l{step}', ONCE, 10, True)
-            sent = self.dispatcher.admit(0, arrival)
+            sent: Any = self.dispatcher.admit(0, arrival)
             self.dispatcher.note_written(0, sent.attempt)
             self.dispatcher.finish(seconds, sent.attempt, Answered(200))
 
--- a/hillfield/routing/urgency.py
+++ b/hillfield/routing/urgency.py
@@ -21,11 +21,18 @@
 PRESSES_LATEST: Final = 1.0
 
 
-def find_urgency(now: float, record: RequestRecord) -> Urgency:
-    """Return which targets the request's next attempt takes."""
+def find_urgency(
+    now: float,
+    record: RequestRecord,
+    settles: bool = False,
+) -> Urgency:
+    """Return which targets the request's next attempt takes.
+
+    `settles` says that its target was chosen though it is suspected.
+    """
     declined = len(record.declined)
     if declined < INSISTS_AFTER:
-        settles = declined >= SETTLES_AFTER
+        settles |= declined >= SETTLES_AFTER
         return Urgency.SETTLES if settles else Urgency.CHOOSY
     waited = now - record.began
     if waited >= PRESSES_LATEST:
