--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from hillfield.events import EventCode
+from hillfield.gate.queue import Rank
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
 from hillfield.model import Step, Target, Urgency
@@ -145,5 +146,19 @@
         return state.refuse(record, replace(FULL, retry_after=wait))
     record.follow(RequestTrigger.QUEUE)
     record.queued_at = now
-    state.queue.push(record)
+    state.queue.push(record, _rank(state, now, record, wait))
     return Wait(record.arrival.request)
+
+
+def _rank(
+    state: GateState,
+    now: float,
+    record: RequestRecord,
+    wait: float,
+) -> Rank:
+    """Return when a request's turn is, if it may wait so long."""
+    plan = record.arrival.plan
+    usual = state.durations.find(plan).find_quantile(0)
+    late = bool(plan.aim) and plan.spent + wait + usual > plan.aim
+    quick = state.durations.is_quick(plan, state.latency.mean)
+    return Rank(late, not quick, plan.priority)
--- a/hillfield/gate/queue.py
+++ b/hillfield/gate/queue.py
@@ -1,27 +1,33 @@
 """Requests that wait at the gate for a slot of its target."""
 
+from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 
 from hillfield.routing.records import RequestRecord
 
 
-class _Place:
-    """Order the waiting by priority, then by arrival."""
+@dataclass(frozen=True, slots=True, order=True)
+class Rank:
+    """Order the waiting: the least goes first.
+
+    `late`: its answer would come too late to be worth most; `long`: it holds
+    a slot for longer than others; `priority` as its route says.
+    """
 
-    __slots__ = ('number', 'record')
+    late: bool = False
+    long: bool = False
+    priority: int = 0
 
-    def __init__(self, number: int, record: RequestRecord) -> None:
-        self.number = number
-        self.record = record
 
-    def __lt__(self, other: '_Place') -> bool:
-        mine = self.record.arrival.plan.priority
-        theirs = other.record.arrival.plan.priority
-        return (mine, self.number) < (theirs, other.number)
+@dataclass(frozen=True, slots=True, order=True)
+class _Place:
+    rank: Rank
+    number: int
+    record: RequestRecord = field(compare=False)
 
 
 class GateQueue:
-    """Let the most urgent go first, those alike in order of arrival."""
+    """Let the least rank go first, those alike in order of arrival."""
 
     def __init__(self) -> None:
         """Start empty."""
@@ -32,10 +38,10 @@
         """Return how many wait."""
         return len(self._places)
 
-    def push(self, record: RequestRecord) -> None:
+    def push(self, record: RequestRecord, rank: Rank) -> None:
         """Let a request wait."""
         self._count += 1
-        heappush(self._places, _Place(self._count, record))
+        heappush(self._places, _Place(rank, self._count, record))
 
     def pop(self) -> RequestRecord:
         """Take the request whose turn it is."""
--- a/hillfield/gate/standing.py
+++ b/hillfield/gate/standing.py
@@ -66,6 +66,9 @@
 FIRST_ODDS: Final = 0.25
 ODDS_GAIN: Final = 0.3
 FAIR_ODDS: Final = 0.4
+# Odds down to which it is risked when no target has taken it for long: below,
+# being told that it has not run serves its caller better.
+POOR_ODDS: Final = 0.2
 # Seconds after which a shunned target that nothing tried is tried by what may
 # run again but has no repeat left, and by any request; sickness lasts about
 # 5 s on the users' installations.
@@ -148,7 +151,8 @@
     def _is_worth(self, plan: RequestPlan) -> bool:
         """Tell whether a request that insists should be risked."""
         presses = plan.urgency is Urgency.PRESSES
-        return plan.idempotent or presses or self.odds >= FAIR_ODDS
+        least = POOR_ODDS if presses else FAIR_ODDS
+        return plan.idempotent or self.odds >= least
 
     def _pace_trials(self, ending: Ending) -> None:
         good = ending is Ending.GOOD
--- a/hillfield/routing/admission.py
+++ b/hillfield/routing/admission.py
@@ -33,7 +33,7 @@
     if cause is not None:
         return refuse(service, record, cause)
     target = None
-    if not service.waiting():
+    if not service.waiting() or service.is_quick(record):
         target = place(service, now, record)
     if target is None:
         return _enqueue(service, now, record)
@@ -103,7 +103,8 @@
     # In turns, at most `own` requests of each account go before this one.
     turns = own * (queue.accounts() + 1)
     position = min(service.waiting() + 1, turns)
-    wait = service.expect_wait(now, position)
+    quick = service.is_quick(record)
+    wait = service.expect_wait(now, 1 if quick else position)
     if _is_late(service, now + wait, record):
         return _refuse_late(service, now, record)
     cause = _find_excess(service, own, wait)
@@ -111,7 +112,10 @@
         return refuse(service, record, cause)
     record.follow(RequestTrigger.QUEUE)
     record.queued_at = now
-    queue.push(record)
+    if quick:
+        queue.push_first(record)
+    else:
+        queue.push(record)
     return Wait(record.arrival.request)
 
 
--- a/hillfield/routing/durations.py
+++ b/hillfield/routing/durations.py
@@ -25,6 +25,8 @@
 # Answers remembered: a change in length is learnt within about so many.
 REMEMBERED: Final = 30
 LEAST_SPREAD: Final = 0.3
+# Part of the mean of a target's requests up to which one counts as quick.
+QUICK_PART: Final = 0.75
 LEAST_SECONDS: Final = 0.001
 
 
@@ -72,6 +74,16 @@
         """Start without any."""
         self._routes: OrderedDict[str, Duration] = OrderedDict()
 
+    def is_quick(self, plan: RequestPlan, mean: float) -> bool:
+        """Tell whether the plan's requests are short beside the mean.
+
+        Quick requests go first: they hold up others least, and calls of
+        running work are among them, whose slot waits as long as they do.
+        """
+        if not plan.aim:
+            return False
+        return self.find(plan).find_quantile(0) <= QUICK_PART * mean
+
     def find(self, plan: RequestPlan) -> Duration:
         """Return what is known of the plan's route."""
         found = self._routes.get(plan.route)
--- a/hillfield/routing/placing.py
+++ b/hillfield/routing/placing.py
@@ -72,34 +72,59 @@
     found = found or choose(now, (*full, *shunned), near=True)
     if found is not None:
         return found
-    avoided = (*excluded, *doubted)
-    if _comes_in_time(service, now, record):
+    return _place_full(service, now, record, excluded)
+
+
+def _place_full(
+    service: Service,
+    now: float,
+    record: RequestRecord,
+    excluded: tuple[TargetId, ...],
+) -> Target | None:
+    """Return the target where no room is known nearby; None: wait here.
+
+    Where no way across promises a slot, none is taken: a request that comes
+    back declined costs its bytes twice.
+    """
+    choose = service.selector.choose
+    held = service.list_held(now, record)
+    avoided = (*excluded, *held)
+    full = (*avoided, *service.rooms.list_full(now))
+    if _comes_in_time(service, now, record, near=True):
         return choose(now, avoided, near=True)
-    found = choose(now, (*full, *doubted)) or choose(now, avoided, near=True)
-    return found or choose(now, avoided) or choose(now, excluded)
+    found = choose(now, full)
+    if found is None and _comes_in_time(service, now, record, near=False):
+        found = choose(now, avoided)
+    found = found or choose(now, avoided, near=True)
+    found = found or choose(now, excluded, near=True)
+    if found is None and not service.selector.has_near():
+        found = choose(now, excluded)
+    return found
 
 
 def _comes_in_time(
     service: Service,
     now: float,
     record: RequestRecord,
+    *,
+    near: bool,
 ) -> bool:
-    """Tell whether a request that waits nearby is still worth most."""
+    """Tell whether a request that waits at a gate is still worth most."""
     plan = record.arrival.plan
-    wait = _expect_near_wait(service)
+    wait = _expect_wait(service, near)
     if wait is None or not plan.aim:
         return False
     usual = service.durations.find(plan).find_quantile(0)
     return record.find_spent(now) + wait + usual < plan.aim
 
 
-def _expect_near_wait(service: Service) -> float | None:
-    """Return the least seconds until a slot nearby is free, if known."""
+def _expect_wait(service: Service, near: bool) -> float | None:
+    """Return the least seconds until a slot is free, if it is known."""
     mean = service.selector.latency.mean
     waits: list[float] = []
     for target, load in service.selector.loads.items():
         room = service.rooms.find(target)
-        if load.near and room is not None and not room.held:
+        if load.near is near and room is not None and not room.held:
             turns = (room.waiting + 1) / load.target.slots
             waits.append(turns * mean)
     return min(waits, default=None)
--- a/hillfield/routing/queues.py
+++ b/hillfield/routing/queues.py
@@ -39,6 +39,12 @@
         self._lines.setdefault(account, deque()).append(record)
         self._length += 1
 
+    def push_first(self, record: RequestRecord) -> None:
+        """Let a request wait before those of its account."""
+        account = record.arrival.plan.account
+        self._lines.setdefault(account, deque()).appendleft(record)
+        self._length += 1
+
     def peek(self) -> RequestRecord:
         """Return the request whose turn it is."""
         return next(iter(self._lines.values()))[0]
