--- a/hillfield/experiments/calling/courses.py
+++ b/hillfield/experiments/calling/courses.py
@@ -1,6 +1,7 @@
 """The course of a request: at its origin, on its way and at a gate."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -44,7 +45,7 @@
         self.host = host
         self.expires = host.clock.now + deadline
         self._end = end
-        self._dispatcher = host.find_dispatcher(kind.plan.service)
+        self._dispatcher = host.find_dispatcher(kind.service)
         self._launched = 0
 
     def start(self) -> None:
@@ -129,7 +130,7 @@
             hop.cancel()
         self.hops.clear()
         if how != 'ok':
-            self.host.gate.calls.note(now, self.kind.plan.service)
+            self.host.gate.calls.note(now, self.kind.service)
         self._end(how)
 
 
@@ -141,6 +142,7 @@
         self.send = send
         self.over = False
         self._course = course
+        self._clock = course.host.clock
         self._key = f'{course.name}/{send.attempt}'
         self._gone = False
         self._work: Send | None = None
@@ -176,11 +178,8 @@
                 self._course.expires,
                 self._finish,
             )
-            self._clock.call_at(self._course.expires, self._time_out)
-
-    @property
-    def _clock(self):  # type: ignore[no-untyped-def]
-        return self._course.host.clock
+            time_out = partial(self._cut, TimedOut())
+            self._clock.call_at(self._course.expires, time_out)
 
     def _reach(self) -> None:
         if self._gone:
@@ -191,32 +190,21 @@
         self.obey(self._host.gate.admit(now, arrival))
 
     def _plan(self) -> RequestPlan:
-        plan = self._course.kind.plan
-        return RequestPlan(
-            plan.service,
-            plan.route,
-            '',
-            plan.idempotent,
-            3600,
+        return replace(
+            self._course.kind.plan,
             maximum_attempts=1,
-            priority=plan.priority,
             trial=self.send.trial,
             urgency=self.send.urgency,
-            aim=plan.aim,
             spent=self.send.spent,
         )
 
     def _finish(self, status: int) -> None:
         wrong = 'status' if status == ERROR else ''
-        idempotent = self._course.kind.plan.idempotent
+        idempotent = self._course.kind.idempotent
         answered = Answered(status, wrong if idempotent else '')
         self._end_work(Answered(status))
         self._answer(answered, self._course.kind.answer_size)
 
-    def _time_out(self) -> None:
-        if self._work is not None and not self._gone:
-            self._cut(TimedOut())
-
     def _leave(self) -> None:
         if self._gone:
             return
@@ -227,7 +215,7 @@
         self._host.gate.leave(self._clock.now, self._key)
 
     def _cut(self, observation: Observation) -> None:
-        if self._run is not None:
+        if self._run is not None and not self._gone:
             self._run.cut = True
         self._end_work(observation)
 
--- a/hillfield/experiments/calling/deployment.py
+++ b/hillfield/experiments/calling/deployment.py
@@ -1,13 +1,20 @@
 """What is deployed and asked for; times are seconds, sizes bytes."""
 
-from dataclasses import dataclass
+import tomllib
+from importlib.resources import files
 from typing import Final
 
+from msgspec import Struct, convert
+
 from hillfield.model import RequestPlan
 
+ATTEMPTS: Final = 2
+# Part of the answers of a well target that are errors (site files).
+ERRORS: Final = 0.012
+USUAL_ANSWER: Final = 500
+
 
-@dataclass(frozen=True, slots=True)
-class Kind:
+class Kind(Struct, frozen=True):
     """Describe a kind of request.
 
     `rate` is how many come a second in all domains (0: only calls), `work`
@@ -15,175 +22,71 @@
     `calls` the kind that its work calls, so many times, in `share` of the runs.
     """
 
-    plan: RequestPlan
+    route: str
+    service: str
+    aim: float
+    deadline: float
+    priority: int
     work: float
     spread: float
+    idempotent: bool = False
     rate: float = 0
     calls: str = ''
     times: int = 0
     share: float = 0
     request_size: int = 0
-    answer_size: int = 500
+    answer_size: int = USUAL_ANSWER
     worth: float = 0
-    errors: float = 0.012
+    errors: float = ERRORS
+
+    @property
+    def plan(self) -> RequestPlan:
+        """Return how a node treats such requests."""
+        return RequestPlan(
+            self.service,
+            self.route,
+            '',
+            self.idempotent,
+            self.deadline,
+            maximum_attempts=ATTEMPTS,
+            aim=self.aim,
+            priority=self.priority,
+        )
+
+
+class Spells(Struct, frozen=True):
+    """Say how targets hang: in some stretches, most of what they get."""
 
+    stretch: float
+    share: float
+    hangs: float
 
-@dataclass(frozen=True, slots=True)
-class Spells:
-    """Say how targets hang: in some stretches, most of what they get."""
 
-    stretch: float = 9.0
-    share: float = 0.3
-    hangs: float = 0.75
+class Burst(Struct, frozen=True):
+    """Say by what factor the usual rates are exceeded between two moments."""
+
+    factor: float = 1
+    begin: float = 0
+    end: float = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Deployment:
+class Deployment(Struct, frozen=True):
     """Hold services, kinds of requests, and how targets behave.
 
-    `targets` is how many a service has in each domain, `load` how much the
-    usual rates are exceeded between two moments.
+    `targets` is how many a service has in each domain.
     """
 
     kinds: tuple[Kind, ...]
-    targets: tuple[tuple[str, tuple[int, ...]], ...]
-    slots: int = 5
-    spells: Spells = Spells()
-    load: tuple[float, float, float] = (1.0, 0, 0)
-
-
-def _plan(
-    service: str,
-    route: str,
-    *,
-    idempotent: bool,
-    aim: float,
-    deadline: float,
-    priority: int = 1,
-) -> RequestPlan:
-    return RequestPlan(
-        service,
-        route,
-        '',
-        idempotent,
-        deadline,
-        maximum_attempts=2,
-        aim=aim,
-        priority=priority,
-    )
-
-
-# Sizes, rates and works are those of the further customer's site file.
-CLAIMS: Final = Deployment(
-    kinds=(
-        Kind(
-            _plan(
-                'policies',
-                'policy-lookup',
-                idempotent=True,
-                aim=1.5,
-                deadline=4,
-                priority=2,
-            ),
-            0.57,
-            0.8,
-            rate=15.1,
-            calls='claim-status',
-            times=1,
-            share=0.7,
-            answer_size=400,
-            worth=1,
-        ),
-        Kind(
-            _plan(
-                'claims',
-                'loss-filing',
-                idempotent=False,
-                aim=1.5,
-                deadline=5,
-            ),
-            0.43,
-            0.8,
-            rate=47.7,
-            calls='payout-ledger',
-            times=2,
-            share=0.7,
-            request_size=1200,
-            answer_size=5000,
-            worth=2,
-        ),
-        Kind(
-            _plan(
-                'payouts',
-                'payout-approval',
-                idempotent=False,
-                aim=0.8,
-                deadline=2.5,
-                priority=0,
-            ),
-            0.3,
-            0.3,
-            rate=12.6,
-            calls='assessor-roster',
-            times=1,
-            share=0.7,
-            request_size=300,
-            answer_size=5000,
-            worth=3,
-        ),
-        Kind(
-            _plan(
-                'assessments',
-                'visit-booking',
-                idempotent=False,
-                aim=1,
-                deadline=3,
-                priority=2,
-            ),
-            0.35,
-            0.5,
-            rate=4.18,
-            answer_size=400,
-            worth=1,
-        ),
-        Kind(
-            _plan(
-                'claims',
-                'claim-status',
-                idempotent=True,
-                aim=0.4,
-                deadline=1.5,
-            ),
-            0.11,
-            0.5,
-        ),
-        Kind(
-            _plan(
-                'payouts',
-                'payout-ledger',
-                idempotent=True,
-                aim=0.4,
-                deadline=1.5,
-            ),
-            0.11,
-            0.5,
-        ),
-        Kind(
-            _plan(
-                'assessments',
-                'assessor-roster',
-                idempotent=True,
-                aim=0.4,
-                deadline=1.5,
-            ),
-            0.11,
-            0.5,
-        ),
-    ),
-    targets=(
-        ('claims', (5, 5, 2)),
-        ('policies', (2, 2, 2)),
-        ('payouts', (2, 2, 2)),
-        ('assessments', (2, 2, 2)),
-    ),
-)
+    targets: dict[str, tuple[int, ...]]
+    slots: int
+    spells: Spells
+    burst: Burst = Burst()
+
+
+def read_deployment(name: str) -> Deployment:
+    """Read a deployment that comes with the package."""
+    path = files('hillfield.experiments.calling') / f'{name}.toml'
+    return convert(tomllib.loads(path.read_text()), Deployment)
+
+
+CLAIMS: Final = read_deployment('claims')
--- a/hillfield/experiments/calling/hosts.py
+++ b/hillfield/experiments/calling/hosts.py
@@ -28,6 +28,8 @@
 # Bytes of a head each way, and of a load report, with those of TCP and IP.
 HEAD: Final = 500
 REPORT: Final = 100
+PORT: Final = 80
+CONNECTIONS: Final = 360
 
 
 @dataclass(slots=True)
@@ -88,20 +90,21 @@
         """Start with a target in its seat."""
         self.network = network
         self.clock = network.clock
+        self.name = str(target.id)
         self.domain = target.locality.failure_domain
         self.service = target.id.service
         self.courses: dict[str, Course] = {}
         self.hops: dict[str, Hop] = {}
         self.arrivals: list[tuple[float, str, str]] = []
         self.gate = Gate(ListJournal())
-        self.gate.take_seat(Seat(target, str(target.id)))
+        self.gate.take_seat(Seat(target, self.name))
         self.target = ModelTarget(
             self.clock,
             deployment.spells,
             random,
             self._call,
         )
-        self._kinds = {kind.plan.route: kind for kind in deployment.kinds}
+        self._kinds = {kind.route: kind for kind in deployment.kinds}
         self._table = DispatcherTable(target.locality, PathBoard, random)
         self._pacer = ReportPacer()
         self._slots = target.slots
@@ -112,7 +115,8 @@
         """Learn of all targets, and begin to tick."""
         self._table.adopt_nodes(0, len(targets))
         policy = make_policy(REPEAT_RATIO, FLOOR)
-        for service in {target.id.service for target in targets}:
+        services = sorted({target.id.service for target in targets})
+        for service in services:
             own = tuple(one for one in targets if one.id.service == service)
             dispatcher = self._table.for_service(service)
             dispatcher.adopt_policy(0, policy)
@@ -133,7 +137,7 @@
     ) -> None:
         """Begin a request of a caller of this host."""
         kind = self._kinds[route]
-        seconds = min(deadline, kind.plan.deadline)
+        seconds = min(deadline, kind.deadline)
         Course(self, kind, name, seconds, end).start()
 
     def poll(self, dispatcher: Dispatcher) -> None:
@@ -152,7 +156,7 @@
 
     def count_arrival(self, name: str, kind: Kind) -> None:
         """Note that the target gets a request."""
-        self.arrivals.append((self.clock.now, name, kind.plan.service))
+        self.arrivals.append((self.clock.now, name, kind.service))
 
     def take_report(self, report: LoadReport) -> None:
         """Take in what a gate tells."""
@@ -169,7 +173,7 @@
         end: Callable[[bool], None],
     ) -> None:
         self._calls += 1
-        name = f'{self.gate.seat}.{self._calls}'
+        name = f'{self.name}.{self._calls}'
         self.ask(route, name, left, lambda how: end(how == 'ok'))
 
     def _report(self, now: float) -> None:
@@ -202,6 +206,6 @@
     slots: int,
 ) -> Target:
     """Return the target of a host."""
-    address = Address(f'10.0.0.{number}', 80)
+    address = Address(f'10.0.0.{number}', PORT)
     place = Locality('r', domain, f'h{number}')
-    return Target(TargetId(service, address, 1), place, slots, 360)
+    return Target(TargetId(service, address, 1), place, slots, CONNECTIONS)
--- a/hillfield/experiments/calling/play.py
+++ b/hillfield/experiments/calling/play.py
@@ -5,6 +5,7 @@
 from functools import partial
 from itertools import count
 from random import Random
+from types import MappingProxyType
 from typing import Final
 
 from hillfield.experiments.calling.clock import Clock
@@ -16,6 +17,10 @@
 WINDOW: Final = 10.0
 # Seconds at the end in which no request begins.
 CLOSING: Final = 5.0
+# Part of its worth that a request earns by how it ended.
+EARNED: Final = MappingProxyType(
+    {'ok': 1.0, 'late': 0.1, 'refused': float(), 'failed': float()},
+)
 
 
 @dataclass(slots=True)
@@ -23,7 +28,7 @@
     """Count what became of the requests of each kind.
 
     `crossing` is bytes between failure domains, `repeats` the most that a
-    service got within 10 s, `worked` slot-seconds by how they ended.
+    service got within 10 s, `earned` and `owed` the worth of all.
     """
 
     counts: dict[str, Counter[str]] = field(default_factory=dict)
@@ -59,7 +64,7 @@
     def run(self, seconds: float) -> Outcome:
         for kind in self._deployment.kinds:
             if kind.rate:
-                self._outcome.counts[kind.plan.route] = Counter()
+                self._outcome.counts[kind.route] = Counter()
                 self._await_next(kind, seconds - CLOSING)
         self._clock.run(seconds)
         self._count_repeats()
@@ -68,7 +73,7 @@
     def _build(self) -> None:
         targets = []
         numbers = count(1)
-        for service, amounts in self._deployment.targets:
+        for service, amounts in self._deployment.targets.items():
             for domain, amount in zip(DOMAINS, amounts, strict=True):
                 for _ in range(amount):
                     target = make_target(
@@ -89,10 +94,10 @@
             host.join(tuple(targets))
 
     def _await_next(self, kind: Kind, until: float) -> None:
-        factor, begin, end = self._deployment.load
+        burst = self._deployment.burst
         rate = kind.rate
-        if begin <= self._clock.now < end:
-            rate *= factor
+        if burst.begin <= self._clock.now < burst.end:
+            rate *= burst.factor
         pause = self._random.expovariate(rate)
         if self._clock.now + pause < until:
             begin_request = partial(self._begin, kind, until)
@@ -109,19 +114,19 @@
         name = f'r{next(self._numbers)}'
         begun = self._clock.now
         self._random.choice(hosts).ask(
-            kind.plan.route,
+            kind.route,
             name,
-            kind.plan.deadline,
+            kind.deadline,
             partial(self._note_end, kind, begun),
         )
 
     def _note_end(self, kind: Kind, begun: float, how: str) -> None:
-        late = self._clock.now - begun > kind.plan.aim
-        if how == 'ok' and late:
+        outcome = self._outcome
+        if how == 'ok' and self._clock.now - begun > kind.aim:
             how = 'late'
-        self._outcome.counts[kind.plan.route][how] += 1
-        self._outcome.owed += kind.worth
-        self._outcome.earned += kind.worth * {'ok': 1, 'late': 0.1}.get(how, 0)
+        outcome.counts[kind.route][how] += 1
+        outcome.owed += kind.worth
+        outcome.earned += kind.worth * EARNED[how]
 
     def _count_repeats(self) -> None:
         arrivals = sorted(
--- a/hillfield/experiments/calling/targets.py
+++ b/hillfield/experiments/calling/targets.py
@@ -10,8 +10,9 @@
 
 OK = 200
 ERROR = 500
+CallEnd = Callable[[bool], None]
 # Starts a call of the work: its kind, the seconds left, what to do at its end.
-Caller = Callable[[str, float, Callable[[bool], None]], None]
+Caller = Callable[[str, float, CallEnd], None]
 
 
 class Run:
--- a/hillfield/experiments/overload/catalogue.py
+++ b/hillfield/experiments/overload/catalogue.py
@@ -1,6 +1,7 @@
 """Experiments on overload, on real nodes and on the decisions alone."""
 
 from hillfield.experiments import decisions
+from hillfield.experiments.calling import measure as calling
 from hillfield.experiments.overload import (
     amplification,
     choice,
@@ -21,6 +22,11 @@
         'The same of the decisions alone, in modelled time.',
         decisions.measure_goodput,
     )
+    registry.register(
+        'calling',
+        'What callers get of services that call each other, in modelled time.',
+        calling.measure,
+    )
     registry.register(
         'retries',
         'Requests that real nodes send when a whole service fails.',
--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -159,6 +159,7 @@
     """Return when a request's turn is, if it may wait so long."""
     plan = record.arrival.plan
     usual = state.durations.find(plan).find_quantile(0)
-    late = bool(plan.aim) and plan.spent + wait + usual > plan.aim
+    expected = plan.spent + wait + usual
+    late = bool(plan.aim) and expected > plan.aim
     quick = state.durations.is_quick(plan, state.latency.mean)
-    return Rank(late, not quick, plan.priority)
+    return Rank(late, not quick, plan.priority, record.arrival.expires)
--- a/hillfield/gate/queue.py
+++ b/hillfield/gate/queue.py
@@ -11,12 +11,14 @@
     """Order the waiting: the least goes first.
 
     `late`: its answer would come too late to be worth most; `long`: it holds
-    a slot for longer than others; `priority` as its route says.
+    a slot for longer than others; `priority` as its route says; `expires` is
+    when its caller gives up, in seconds of the monotonic clock.
     """
 
     late: bool = False
     long: bool = False
     priority: int = 0
+    expires: float = 0
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/hillfield/routing/admission.py
+++ b/hillfield/routing/admission.py
@@ -33,7 +33,7 @@
     if cause is not None:
         return refuse(service, record, cause)
     target = None
-    if not service.waiting() or service.is_quick(record):
+    if not service.waiting() or _is_quick(service, record):
         target = place(service, now, record)
     if target is None:
         return _enqueue(service, now, record)
@@ -103,7 +103,7 @@
     # In turns, at most `own` requests of each account go before this one.
     turns = own * (queue.accounts() + 1)
     position = min(service.waiting() + 1, turns)
-    quick = service.is_quick(record)
+    quick = _is_quick(service, record)
     wait = service.expect_wait(now, 1 if quick else position)
     if _is_late(service, now + wait, record):
         return _refuse_late(service, now, record)
@@ -112,13 +112,15 @@
         return refuse(service, record, cause)
     record.follow(RequestTrigger.QUEUE)
     record.queued_at = now
-    if quick:
-        queue.push_first(record)
-    else:
-        queue.push(record)
+    queue.push(record, first=quick)
     return Wait(record.arrival.request)
 
 
+def _is_quick(service: Service, record: RequestRecord) -> bool:
+    mean = service.selector.latency.mean
+    return service.durations.is_quick(record.arrival.plan, mean)
+
+
 def _is_late(service: Service, start: float, record: RequestRecord) -> bool:
     return is_late(start, service.find_usual(record), record)
 
--- a/hillfield/routing/placing.py
+++ b/hillfield/routing/placing.py
@@ -97,7 +97,8 @@
         found = choose(now, avoided)
     found = found or choose(now, avoided, near=True)
     found = found or choose(now, excluded, near=True)
-    if found is None and not service.selector.has_near():
+    loads = service.selector.loads.values()
+    if found is None and not any(load.near for load in loads):
         found = choose(now, excluded)
     return found
 
--- a/hillfield/routing/queues.py
+++ b/hillfield/routing/queues.py
@@ -10,7 +10,7 @@
 
 
 class FairQueue:
-    """Serve accounts in turn, each in order of arrival.
+    """Serve accounts in turn, each in the order in which requests expire.
 
     Requests cost one unit each, so that deficit round robin (Shreedhar and
     Varghese, 1995) comes down to plain turns.
@@ -33,16 +33,17 @@
         """Return how many requests of the account wait."""
         return len(self._lines.get(account, ()))
 
-    def push(self, record: RequestRecord) -> None:
-        """Let a request wait behind those of its account."""
-        account = record.arrival.plan.account
-        self._lines.setdefault(account, deque()).append(record)
-        self._length += 1
+    def push(self, record: RequestRecord, *, first: bool = False) -> None:
+        """Let a request wait behind those of its account that expire sooner.
 
-    def push_first(self, record: RequestRecord) -> None:
-        """Let a request wait before those of its account."""
+        Otherwise those with little time are served never while a service is
+        crowded: others take each slot that comes free in it. `first`: before
+        all of its account.
+        """
         account = record.arrival.plan.account
-        self._lines.setdefault(account, deque()).appendleft(record)
+        line = self._lines.setdefault(account, deque())
+        place = 0 if first else _find_place(line, record)
+        line.insert(place, record)
         self._length += 1
 
     def peek(self) -> RequestRecord:
@@ -111,6 +112,14 @@
         return late
 
 
+def _find_place(line: deque[RequestRecord], record: RequestRecord) -> int:
+    expires = record.arrival.expires
+    place = len(line)
+    while place and line[place - 1].arrival.expires > expires:
+        place -= 1
+    return place
+
+
 def is_late(start: float, need: float, record: RequestRecord) -> bool:
     """Tell whether a first attempt at this time would not end in time.
 
--- a/hillfield/routing/recovery.py
+++ b/hillfield/routing/recovery.py
@@ -117,7 +117,7 @@
 def serve_retries(service: Service, now: float) -> tuple[Verdict, ...]:
     """Send the retries that have found a slot."""
     verdicts: list[Verdict] = []
-    waiting = tuple(service.retries)
+    waiting = sorted(service.retries, key=_find_expiry)
     service.retries.clear()
     for record in waiting:
         verdict = _serve_retry(service, now, record)
@@ -128,6 +128,10 @@
     return tuple(verdicts)
 
 
+def _find_expiry(record: RequestRecord) -> float:
+    return record.arrival.expires
+
+
 def _take_retry(
     service: Service,
     record: RequestRecord,
--- a/hillfield/routing/selection.py
+++ b/hillfield/routing/selection.py
@@ -65,10 +65,6 @@
             for identity, load in self.loads.items()
         )
 
-    def has_near(self) -> bool:
-        """Tell whether the rotation has a target in this failure domain."""
-        return bool(self._tiers[0].capacity)
-
     def choose_freed(
         self,
         now: float,
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -175,11 +175,6 @@
             return self.durations.find(plan).find_quantile(FEW)
         return self.latency()
 
-    def is_quick(self, record: RequestRecord) -> bool:
-        """Tell whether a request is short beside others to the service."""
-        mean = self.selector.latency.mean
-        return self.durations.is_quick(record.arrival.plan, mean)
-
     def latency(self) -> float:
         """Return the seconds that few attempts exceed."""
         return self.selector.latency.bound()
