--- a/hillfield/gate/tests/test_gate.py
+++ b/hillfield/gate/tests/test_gate.py
@@ -411,3 +411,48 @@
     assert second.number > first.number
     gate.take_seat(None)
     assert gate.report(0) is None
+
+
+def play_queue(gate, *waiting):
+    """Return the order in which the waiting get the slot that is freed."""
+    run(gate, 'usual', Answered(200))
+    sent = gate.admit(0, arrive('x'))
+    gate.finish(0.4, sent.attempt, Answered(200))
+    held = hold_slots(gate, 1)
+    assert all(isinstance(gate.admit(1, one), Wait) for one in waiting)
+    served = []
+    for slot in held:
+        gate.finish(1.2, slot.attempt, Answered(200))
+        served.extend(verdict.request for verdict in gate.poll(1.2))
+    return served
+
+
+def test_what_comes_in_time_goes_before_what_is_late_already(gate):
+    late = arrive('late', 1, aim=1, spent=2)
+    timely = arrive('timely', 1, aim=2)
+    assert play_queue(gate, late, timely) == ['timely', 'late']
+
+
+def test_of_two_alike_the_one_that_expires_first_goes_first(gate):
+    patient = arrive('patient', 1, left=4, aim=2)
+    pressed = arrive('pressed', 1, left=2, aim=2)
+    assert play_queue(gate, patient, pressed) == ['pressed', 'patient']
+
+
+def test_a_wait_at_the_gate_ends_when_its_bound_is_over(gate):
+    run(gate, 'usual', Answered(200))
+    hold_slots(gate, 1)
+    assert isinstance(gate.admit(1, arrive('a', 1)), Wait)
+    refused = gate.poll(1 + 2 * LONGEST_WAIT)
+    assert [verdict.request for verdict in refused] == ['a']
+    assert refused[0].failure.outcome is Outcome.NOT_RUN
+
+
+def test_what_presses_is_refused_where_trials_fail(gate):
+    """Three in four of what was pressed on a target that hangs were lost."""
+    run(gate, 'a', Broken('reset'))
+    run(gate, 'b', Broken('reset'), 0.3, trial=True)
+    pressing = arrive('c', 0.4, urgency=Urgency.PRESSES)
+    refused = gate.admit(0.4, pressing)
+    assert isinstance(refused, Refuse)
+    assert refused.failure.outcome is Outcome.NOT_RUN
--- /dev/null
+++ b/hillfield/routing/tests/test_patience.py
@@ -0,0 +1,81 @@
+"""Who goes first where a service is crowded, and how long one waits."""
+
+from random import Random
+from typing import Any
+
+from pytest import fixture
+
+from hillfield.detection.paths import PathBoard
+from hillfield.hostroutes.allowances import make_policy
+from hillfield.model import (
+    Address,
+    Locality,
+    Outcome,
+    RequestPlan,
+    ServicePolicy,
+    Target,
+    TargetId,
+)
+from hillfield.routing import Dispatcher
+from hillfield.routing.patience import STALE_AFTER
+from hillfield.routing.requests import Answered, Arrival, Refuse, Send, Wait
+
+HERE = Locality('r', 'a', 'h')
+LONG = RequestPlan('s', 'post', '', False, 5, maximum_attempts=2, aim=1.5)
+CALL = RequestPlan('s', 'call', '', True, 1.5, maximum_attempts=2, aim=0.4)
+SLOTS = 2
+AFTER_CROWD = 50
+
+
+@fixture
+def crowded():
+    """Return decisions of one target whose slots are taken."""
+    plain = ServicePolicy('s')
+    board = PathBoard(plain, HERE)
+    made = Dispatcher(plain, HERE, board, Random(1))
+    made.adopt_policy(0, make_policy(0.2, 0.7))
+    identity = TargetId('s', Address('10.0.0.1', 80), 1)
+    made.adopt_targets(0, (Target(identity, HERE, SLOTS, 300),))
+    for step in range(20):
+        plan, seconds = (CALL, 0.1) if step % 2 else (LONG, 0.5)
+        sent: Any = send(made, f'l{step}', step, plan)
+        made.note_written(step, sent.attempt)
+        made.finish(step + seconds, sent.attempt, Answered(200))
+    return made, [send(made, name, AFTER_CROWD) for name in 'xy']
+
+
+def send(dispatcher, name, now, plan=LONG):
+    arrival = Arrival(name, plan, now + plan.deadline, True)
+    return dispatcher.admit(now, arrival)
+
+
+def test_quick_requests_go_before_long_ones_that_came_first(crowded):
+    """Calls that were refused behind long requests failed their parents."""
+    dispatcher, running = crowded
+    assert isinstance(send(dispatcher, 'long', AFTER_CROWD), Wait)
+    assert isinstance(send(dispatcher, 'call', AFTER_CROWD, CALL), Wait)
+    dispatcher.note_written(AFTER_CROWD, running[0].attempt)
+    dispatcher.finish(AFTER_CROWD + 0.1, running[0].attempt, Answered(200))
+    served = dispatcher.poll(AFTER_CROWD + 0.1)
+    assert [verdict.request for verdict in served] == ['call']
+
+
+def test_a_wait_in_vain_ends_long_before_the_deadline(crowded):
+    """Requests were told 503 at 5.2 s, untried, of 1.5 s that count."""
+    dispatcher = crowded[0]
+    send(dispatcher, 'long', AFTER_CROWD)
+    over = AFTER_CROWD + STALE_AFTER * LONG.aim
+    assert not dispatcher.poll(AFTER_CROWD + 1)
+    refused = dispatcher.poll(over)
+    assert [type(verdict) for verdict in refused] == [Refuse]
+    assert refused[0].failure.outcome is Outcome.NOT_RUN
+    assert refused[0].failure.retry_after
+
+
+def test_quick_requests_wait_to_their_deadline(crowded):
+    dispatcher, running = crowded
+    send(dispatcher, 'call', AFTER_CROWD, CALL)
+    assert not dispatcher.poll(AFTER_CROWD + 1)
+    dispatcher.note_written(AFTER_CROWD, running[0].attempt)
+    dispatcher.finish(AFTER_CROWD + 1, running[0].attempt, Answered(200))
+    assert isinstance(dispatcher.poll(AFTER_CROWD + 1)[0], Send)
