--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -19,7 +19,7 @@
 # The part of its time that a request may wait here if its answer is expected
 # within the time in which it is worth most: what leaves the gate untried needs
 # the rest to be tried elsewhere.
-LARGEST_SHARE_OF_WAIT: Final = 0.3
+LARGEST_SHARE_OF_WAIT: Final = 0.5
 # Seconds of an attempt while nothing has been measured.
 FIRST_NEED: Final = 0.02
 # Seconds after which a refused request may come back.
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -30,8 +30,6 @@
 SHARE_OF_RETRY: Final = 0.5
 
 MILLISECOND_DIGITS: Final = 3
-# Standard deviations above the median that one attempt in ten exceeds.
-FEW: Final = 1.28
 
 
 @dataclass(slots=True)
@@ -165,14 +163,16 @@
         return record.bound_need(self.find_usual(record), SHARE_OF_RETRY)
 
     def find_usual(self, record: RequestRecord) -> float:
-        """Return the seconds that few attempts of such a request exceed.
+        """Return the seconds that an attempt of such a request takes.
 
         Calls that take a tenth of what other requests to the service take
-        must not be refused for the length of those.
+        must not be refused for the length of those; and where a service is
+        crowded, requests with little time are served only if they wait as
+        long as they are likelier than not to be answered.
         """
         plan = record.arrival.plan
         if plan.aim:
-            return self.durations.find(plan).find_quantile(FEW)
+            return self.durations.find(plan).find_quantile(0)
         return self.latency()
 
     def latency(self) -> float:
