Answer what a stopping node can't finish, instead of a reset

What is still in flight then is now ended as at its deadline: 504 if it may have run, 503 if it has not. The answers have 0.1 s to go out, within the grace time.

--- a/hillfield/proxy/connections.py
+++ b/hillfield/proxy/connections.py
@@ -1,13 +1,23 @@
 """All callers' connections of one node."""
 
 import socket
-from asyncio import Event, Task, create_task, get_running_loop, timeout
+from asyncio import (
+    Event,
+    Task,
+    create_task,
+    get_running_loop,
+    sleep,
+    timeout,
+)
 from typing import Final
 
 from hillfield.proxy.callers import CallerConnection
 from hillfield.proxy.context import ProxyContext
 
 _REFUSALS_AT_ONCE: Final = 64
+# Seconds in which the answers to requests that could not be finished go out:
+# a reset would leave their callers without any.
+_LAST_WORDS: Final = 0.1
 
 
 class CallerConnections:
@@ -56,6 +66,8 @@
             async with timeout(settings.drain_timeout):
                 await self._wait_until_empty()
         except TimeoutError:
+            self._context.expire_all()
+            await sleep(_LAST_WORDS)
             self.abandon()
         idle_timer.cancel()
 
--- a/hillfield/proxy/context.py
+++ b/hillfield/proxy/context.py
@@ -22,6 +22,9 @@
     def take(self, verdict: Verdict) -> None:
         """Do what has been decided."""
 
+    def expire(self) -> None:
+        """End the request now; its caller is told what has become of it."""
+
     def note_stray(self, error: Exception) -> None:
         """End the request after an error that nobody expected."""
 
@@ -63,6 +66,11 @@
             dispatching = self.dispatchers.for_service(verdict.target.service)
             dispatching.finish(monotonic(), verdict.attempt, CallerGone())
 
+    def expire_all(self) -> None:
+        """End all requests now, each with an answer of its own."""
+        for taker in tuple(self.takers.values()):
+            run_guarded(taker.expire, taker.note_stray)
+
     def record_failure(
         self,
         failure: RequestFailure,
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -56,7 +56,7 @@
         self._timer = loop.call_later(
             order.expires - monotonic(),
             run_guarded,
-            self._expire,
+            self.expire,
             self.note_stray,
         )
 
@@ -141,15 +141,8 @@
             self.take(verdict)
         self._context.poll(self._dispatching)
 
-    def note_stray(self, error: Exception) -> None:
-        """End the request after an error that nobody expected."""
-        failure = describe_stray(error)
-        if self.closed:
-            self._relay.rescue(failure)
-        else:
-            self.fail(failure)
-
-    def _expire(self) -> None:
+    def expire(self) -> None:
+        """End the request now; its caller is told what has become of it."""
         if self.closed:
             return
         if not self.started:
@@ -162,6 +155,14 @@
             refusal = _find_deadline_failure(self._running.may_have_run)
         self.fail(refusal)
 
+    def note_stray(self, error: Exception) -> None:
+        """End the request after an error that nobody expected."""
+        failure = describe_stray(error)
+        if self.closed:
+            self._relay.rescue(failure)
+        else:
+            self.fail(failure)
+
     def _begin_relay(self, attempt: Attempt) -> Awaitable[None]:
         self._running.cut(attempt)
         return self._relay.begin(attempt)
--- a/hillfield/proxy/tests/test_faults.py
+++ b/hillfield/proxy/tests/test_faults.py
@@ -306,6 +306,18 @@
     assert path.dispatching.observations() == [CallerGone()]
 
 
+async def test_drain_answers_what_it_can_not_finish(path):
+    """A caller of a node that stopped got a reset and no answer at all."""
+    path.plans.plan = plan(idempotent=False)
+    target = await path.start(stall, drain_timeout=0.1)
+    asking = asyncio.create_task(path.ask(GET))
+    await target.got.wait()
+    await path.server.drain()
+    head = (await asking)[0]
+    assert b'Hillfield-Outcome: unknown\r\n' in head
+    assert path.dispatching.observations() == [TimedOut()]
+
+
 async def test_hedge_wins_and_the_loser_is_cut(path):
     path.plans.plan = plan(idempotent=True, hedge_after=0.01)
     path.dispatching.hedging = True
