--- a/hillfield/routing/records.py
+++ b/hillfield/routing/records.py
@@ -44,7 +44,7 @@
     consumed: bool = False
     unsent: int = 0
     declined: tuple[TargetId, ...] = ()
-    began: float = 0
+    began: float | None = None
 
     def follow(self, trigger: RequestTrigger) -> RequestAction | None:
         """Take a step of the chart; None when the chart has none."""
@@ -73,7 +73,7 @@
 
     def find_spent(self, now: float) -> float:
         """Return the seconds since the request began."""
-        return now - self.began if self.began else 0
+        return 0 if self.began is None else now - self.began
 
     def has_ended(self) -> bool:
         """Tell whether the caller has been given its verdict."""
@@ -132,7 +132,7 @@
 
     def start(self, now: float, record: RequestRecord, target: Target) -> Send:
         """Start an attempt at the target."""
-        if not record.began:
+        if record.began is None:
             record.began = now
         record.follow(RequestTrigger.SEND)
         self.sends += 1
--- a/hillfield/routing/reselection.py
+++ b/hillfield/routing/reselection.py
@@ -39,4 +39,4 @@
 
 
 def _find_allowance(now: float, record: RequestRecord) -> int:
-    return FAR_AT_ONCE + int((now - record.began) / FAR_EVERY)
+    return FAR_AT_ONCE + int(record.find_spent(now) / FAR_EVERY)
--- a/hillfield/routing/urgency.py
+++ b/hillfield/routing/urgency.py
@@ -34,7 +34,7 @@
     if declined < INSISTS_AFTER:
         settles |= declined >= SETTLES_AFTER
         return Urgency.SETTLES if settles else Urgency.CHOOSY
-    waited = now - record.began
+    waited = record.find_spent(now)
     if waited >= PRESSES_LATEST:
         return Urgency.PRESSES
     return Urgency.INSISTS if waited >= INSISTS_LATEST else Urgency.SETTLES
