Ask once what gates hold back, hold hedges in one module, call what was there

Read of the whole change: placing listed held and full targets twice for a request that finds no room nearby; the check of lateness stood twice in admission; a model's delivery was a class where a partial does; the class that asks for second attempts had a module beside the one that decides them. No behaviour changed.

--- a/hillfield/experiments/calling/hosts.py
+++ b/hillfield/experiments/calling/hosts.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -59,24 +60,12 @@
             if (other.domain != host.domain) is far:
                 self.clock.call_later(
                     FAR if far else NEAR,
-                    _Delivery(other, report),
+                    partial(other.take_report, report),
                 )
         if far:
             self.crossing['reports'] += 2 * REPORT
 
 
-@dataclass(frozen=True, slots=True)
-class _Delivery:
-    """Bring a report to a host."""
-
-    host: 'Host'
-    report: LoadReport
-
-    def __call__(self) -> None:
-        """Take it in there."""
-        self.host.take_report(self.report)
-
-
 class Host:
     """Run the decisions of one node, and its target."""
 
--- a/hillfield/routing/admission.py
+++ b/hillfield/routing/admission.py
@@ -127,11 +127,8 @@
     now: float,
     record: RequestRecord,
 ) -> bool:
-    return is_late(now, service.find_usual(record), record) or is_stale(
-        service,
-        now,
-        record,
-    )
+    late = _is_late(service, now, record)
+    return late or is_stale(service, now, record)
 
 
 def _give_up(
--- a/hillfield/routing/dispatcher.py
+++ b/hillfield/routing/dispatcher.py
@@ -8,7 +8,7 @@
 from hillfield.model import Locality, ServicePolicy, Target
 from hillfield.routing.admission import admit, serve_queue
 from hillfield.routing.explanations import RoutingExplanation, explain_service
-from hillfield.routing.hedges import Hedges
+from hillfield.routing.hedging import Hedges
 from hillfield.routing.recovery import finish, serve_retries
 from hillfield.routing.requests import (
     Arrival,
--- a/hillfield/routing/hedging.py
+++ b/hillfield/routing/hedging.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from hillfield.model import RequestPlan
+from hillfield.routing.notes import AttemptNotes
 from hillfield.routing.placing import place_hedge
 from hillfield.routing.phases import RequestPhase
 from hillfield.routing.records import RequestRecord
@@ -77,3 +78,18 @@
     if record.sent >= plan.maximum_attempts:
         return False
     return plan.idempotent and record.arrival.replayable
+
+
+class Hedges(AttemptNotes):
+    """Say when a request is hedged, and where."""
+
+    def find_hedge_delay(self, plan: RequestPlan) -> float | None:
+        """Return the seconds from an attempt to a second one; None: never."""
+        return find_delay(self._service, plan)
+
+    def hedge(self, now: float, request: str) -> Send | None:
+        """Start a second attempt of a slow request, if the budget allows."""
+        record = self._service.ledger.requests.get(request)
+        if record is None:
+            return None
+        return hedge(self._service, now, record)
--- a/hillfield/routing/placing.py
+++ b/hillfield/routing/placing.py
@@ -49,11 +49,11 @@
 ) -> Target | None:
     """Return a target nearby whose gate asks for a trial."""
     wanting = service.rooms.list_wanting(now)
+    if not wanting:
+        return None
     others = (
         target for target in service.selector.loads if target not in wanting
     )
-    if not wanting:
-        return None
     return service.selector.choose(now, (*excluded, *others), near=True)
 
 
@@ -72,7 +72,7 @@
     found = found or choose(now, (*full, *shunned), near=True)
     if found is not None:
         return found
-    return _place_full(service, now, record, excluded)
+    return _place_full(service, now, record, excluded, doubted)
 
 
 def _place_full(
@@ -80,6 +80,7 @@
     now: float,
     record: RequestRecord,
     excluded: tuple[TargetId, ...],
+    held: tuple[TargetId, ...],
 ) -> Target | None:
     """Return the target where no room is known nearby; None: wait here.
 
@@ -87,7 +88,6 @@
     back declined costs its bytes twice.
     """
     choose = service.selector.choose
-    held = service.list_held(now, record)
     avoided = (*excluded, *held)
     full = (*avoided, *service.rooms.list_full(now))
     if _comes_in_time(service, now, record, near=True):
--- a/hillfield/routing/rooms.py
+++ b/hillfield/routing/rooms.py
@@ -100,7 +100,6 @@
 
         `trial` says that the request may try a doubtful target.
         """
-        self._forget(now)
         least = Held.USUAL if plan.idempotent else Held.ONCE
         return self._list_from(now, Held.ALL if trial else least)
 
