Tell lives of a target apart by when it was born

Cause: a target may start again under the id that it had. Its first heartbeat then came with a lower sequence number and was taken for a late one, so the new life stayed unknown or kept the drain, the slots and the evidence of the one before.

The heartbeat's birth is its incarnation: a later one begins a new life, an earlier one is late whatever its sequence says. A farewell binds those born by then. Requests that an earlier life took hold no slot of the next.

Ruled out: taking a lower sequence number for a new life, which a heartbeat that comes late would be as well.

--- a/hillfield/gate/seating.py
+++ b/hillfield/gate/seating.py
@@ -22,9 +22,19 @@
 
 @dataclass(slots=True)
 class _Named:
+    """Hold a life; `born` is what it says of its start (None: nothing)."""
+
     announcement: Announcement
     incarnation: int
     sequence: int
+    born: int | None
+
+    def is_over(self, announcement: Announcement) -> bool:
+        """Tell whether a heartbeat is of a later life of the same name."""
+        born = announcement.incarnation
+        if born is None or self.born is None:
+            return False
+        return born > self.born
 
 
 class Seating:
@@ -32,7 +42,9 @@
 
     A life's incarnation is the wall clock at its first heartbeat, always
     above that of any life before it. A heartbeat that comes late, by its
-    sequence number, changes nothing.
+    sequence number, changes nothing. A target may start again under the same
+    name: what it announces as its incarnation, when it was born, tells that,
+    and nothing of its earlier life counts for it.
     """
 
     def __init__(self, registry: TargetRegistry, gate: Gate) -> None:
@@ -40,7 +52,7 @@
         self._registry = registry
         self.gate = gate
         self._named: OrderedDict[str, _Named] = OrderedDict()
-        self._left: OrderedDict[str, None] = OrderedDict()
+        self._left: OrderedDict[str, int] = OrderedDict()
         self._newest = 0
 
     def announce(
@@ -53,10 +65,12 @@
     ) -> Result[Target, AnnouncementProblem]:
         """Take a heartbeat; `wall` is the wall clock in milliseconds."""
         named = self._named.get(name)
-        if name in self._left:
+        if not self._may_come_back(name, announcement):
             return Error(_describe_unknown(name))
-        if named is None:
+        if named is None or named.is_over(announcement):
             named = self._begin(name, wall, announcement)
+        elif announcement.incarnation != named.born:
+            return Error(_describe_other_life(announcement, named))
         elif sequence <= named.sequence:
             return Error(_describe_late(sequence, named))
         named.sequence = sequence
@@ -76,13 +90,19 @@
         self,
         now: float,
         name: str,
+        wall: int = 0,
     ) -> Result[Target, AnnouncementProblem]:
-        """Forget a life at once; no later heartbeat brings it back."""
-        self._left[name] = None
+        """Forget a life at once; no later heartbeat brings it back.
+
+        `wall` is the wall clock in milliseconds: what was born by then has
+        left, where no heartbeat has told when it was.
+        """
+        named = self._named.get(name)
+        known = None if named is None else named.born
+        self._left[name] = wall if known is None else known
         if len(self._left) > NAMES_KEPT:
             self._left.popitem(last=False)
         self._leave_seat(name)
-        named = self._named.get(name)
         if named is None:
             return Error(_describe_unknown(name))
         return self._registry.withdraw(
@@ -101,6 +121,13 @@
         if seat.target.id not in listed:
             self.gate.take_seat(None)
 
+    def _may_come_back(self, name: str, announcement: Announcement) -> bool:
+        left = self._left.get(name)
+        if left is None:
+            return True
+        born = announcement.incarnation
+        return born is not None and born > left
+
     def _leave_seat(self, name: str) -> None:
         seat = self.gate.seat
         if seat is not None and seat.name == name:
@@ -113,8 +140,9 @@
         announcement: Announcement,
     ) -> _Named:
         self._newest = max(wall, self._newest + 1)
-        named = _Named(announcement, self._newest, -1)
+        named = _Named(announcement, self._newest, -1, announcement.incarnation)
         self._named[name] = named
+        self._left.pop(name, None)
         if len(self._named) > NAMES_KEPT:
             self._named.popitem(last=False)
         return named
@@ -129,6 +157,18 @@
     )
 
 
+def _describe_other_life(
+    announcement: Announcement,
+    named: _Named,
+) -> AnnouncementProblem:
+    return AnnouncementProblem(
+        Refusal.STALE,
+        'incarnation',
+        f'{announcement.incarnation} after {named.born}',
+        'send with each heartbeat when the target was born',
+    )
+
+
 def _describe_unknown(name: str) -> AnnouncementProblem:
     return AnnouncementProblem(
         Refusal.UNKNOWN,
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -40,8 +40,17 @@
 
     @property
     def in_flight(self) -> int:
-        """Return how many requests are at the target."""
-        return len(self.ledger.attempts)
+        """Return how many requests are at this life of the target.
+
+        Those that an earlier life took have no slot of the present one.
+        """
+        target = self.target
+        if target is None:
+            return len(self.ledger.attempts)
+        return sum(
+            attempt.target.id == target.id
+            for attempt in self.ledger.attempts.values()
+        )
 
     def judge(
         self,
--- a/hillfield/platform/heartbeats.py
+++ b/hillfield/platform/heartbeats.py
@@ -5,11 +5,19 @@
 from typing import Final
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec import (
+    UNSET,
+    DecodeError,
+    Struct,
+    UnsetType,
+    ValidationError,
+    field,
+)
 from msgspec.json import decode, encode
 from tornado.web import RequestHandler
 
 from hillfield.announcements import Announcement, AnnouncementProblem
+from hillfield.announcements.messages import Amount
 from hillfield.control.plainserver import PlainServer
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.gate.seating import Seating
@@ -21,13 +29,14 @@
 # target has slots: the platform's limit is never reached.
 CONNECTIONS: Final = 4096
 DRAINING: Final = 'draining'
+STATES: Final = frozenset(('ready', DRAINING))
 
 
 class Lasting(Struct, frozen=True):
     """Hold what stays the same in a life of a target."""
 
     service: str
-    slots: int
+    slots: Amount
 
 
 class Status(Struct, frozen=True):
@@ -39,11 +48,12 @@
 
 
 class Heartbeat(Struct, frozen=True):
-    """Hold one heartbeat."""
+    """Hold one heartbeat; `born` is the Unix millisecond of the start."""
 
     address: str
     lasting: Lasting = field(name='info')
     status: Status
+    born: int | UnsetType = UNSET
 
 
 def read_heartbeat(
@@ -54,6 +64,8 @@
         wire = decode(body, type=Heartbeat)
     except (DecodeError, ValidationError) as wrong:
         return Error(str(wrong))
+    if wire.status.state not in STATES:
+        return Error('status.state: write ready or draining')
     address = parse_address(wire.address)
     if address.is_error():
         return Error(f'address: {address.error}')
@@ -62,6 +74,7 @@
         address.ok,
         wire.lasting.slots,
         CONNECTIONS,
+        incarnation=None if wire.born is UNSET else wire.born,
         state=_read_state(wire.status),
     )
     return Ok((announcement, wire.status.sequence))
@@ -102,7 +115,9 @@
 
     def delete(self, name: str) -> None:
         """Take a farewell; the answer binds the fleet."""
-        self._acknowledge(name, self._seating.withdraw(monotonic(), name))
+        wall = time_ns() // NANOSECONDS_PER_MILLISECOND
+        told = self._seating.withdraw(monotonic(), name, wall)
+        self._acknowledge(name, told)
 
     def _acknowledge(
         self,
