--- a/hillfield/loadreports/reports.py
+++ b/hillfield/loadreports/reports.py
@@ -1,18 +1,13 @@
 """What a gate tells of its target's room, and how that is coded."""
 
 from enum import IntEnum
-from hashlib import blake2b
-from hmac import compare_digest
-from typing import Final
 
 from msgspec import MsgspecError, Struct
 from msgspec.msgpack import Decoder, Encoder
 
+from hillfield.loadreports.sealing import Seal
 from hillfield.model import Address, TargetId
 
-MAC_LENGTH: Final = 8
-KEY_LIMIT: Final = 64
-
 
 class Held(IntEnum):
     """Say which work a gate holds back from its target.
@@ -62,25 +57,21 @@
     """
 
     def __init__(self, key: bytes) -> None:
-        """Derive the key of the MAC."""
-        self._key = blake2b(key, digest_size=KEY_LIMIT).digest()
+        """Seal with this key."""
+        self._seal = Seal(key)
         self._encoder = Encoder()
         self._decoder = Decoder(LoadReport)
 
     def seal(self, report: LoadReport) -> bytes:
         """Return the datagram: a keyed MAC of 8 bytes, then the report."""
-        body = self._encoder.encode(report)
-        return self._sign(body) + body
+        return self._seal.close(self._encoder.encode(report))
 
     def open(self, datagram: bytes) -> LoadReport | None:
         """Return the report, or None if it isn't of this cluster."""
-        mac, body = datagram[:MAC_LENGTH], datagram[MAC_LENGTH:]
-        if not compare_digest(mac, self._sign(body)):
+        body = self._seal.open(datagram)
+        if body is None:
             return None
         try:
             return self._decoder.decode(body)
         except (MsgspecError, UnicodeDecodeError):
             return None
-
-    def _sign(self, body: bytes) -> bytes:
-        return blake2b(body, digest_size=MAC_LENGTH, key=self._key).digest()
