Know callers by keys of client accounts, and hold the accounts' limits

A second scheme of credentials beside HTTP Basic, one bare key, is read and ends at the first node. The account of its hash is looked up, so the time taken tells nothing of the key; keys stand in no event, error or metric. The account's name goes over the hop in the nodes' own header and to the target; what callers claim is dropped. Its rank goes before the route's, its limit is asked before a request is planned: 429 with the time until there is room. A node without a configuration still answers 503. Configurations with a key held twice, names that no header can carry or limits below zero are refused with the field named.

Datagram sockets of load reports and quotas are one class now. The HTTP caller of the store's calls holds no name of the platform and moved to the store's package. Header texts of the hop carry any name, not only ASCII.

--- a/hillfield/configuration/serving/request_failures.py
+++ b/hillfield/configuration/serving/request_failures.py
@@ -27,6 +27,17 @@
     return _refuse(HTTPStatus.UNAUTHORIZED, Step.AUTHENTICATE, code, detail)
 
 
+def refuse_quota(account: str, wait: float) -> RequestFailure:
+    """Refuse what lies beyond an account's limit; `wait` in seconds."""
+    failure = _refuse(
+        HTTPStatus.TOO_MANY_REQUESTS,
+        Step.ADMIT,
+        EventCode.ACCOUNT_QUOTA_EXCEEDED,
+        f'account {account} sends more than its limit over all nodes',
+    )
+    return replace(failure, retry_after=wait)
+
+
 def refuse_service(account: str, service: str) -> RequestFailure:
     """Refuse a service that the account may not use."""
     return _refuse(
--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -78,6 +78,7 @@
     ROUTE_UNKNOWN = 5008
     METHOD_UNKNOWN = 5009
     CONFIGURATION_COMPLETE = 5010
+    ACCOUNT_QUOTA_EXCEEDED = 5011
     STORE_DOWN = 6001
     STORE_BACK = 6002
     STORE_WRITE_IN_DOUBT = 6003
@@ -164,6 +165,7 @@
         EventCode.ROUTE_UNKNOWN: 'info',
         EventCode.METHOD_UNKNOWN: 'info',
         EventCode.CONFIGURATION_COMPLETE: 'info',
+        EventCode.ACCOUNT_QUOTA_EXCEEDED: 'info',
         EventCode.STORE_DOWN: 'warning',
         EventCode.STORE_BACK: 'info',
         EventCode.STORE_WRITE_IN_DOUBT: 'warning',
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -29,6 +29,8 @@
     TimedOut,
 )
 
+# Header fields carry bytes; HTTP libraries show them in this coding.
+WIRE: Final = 'latin-1'
 STEP: Final = 'Hillfield-Step'
 EVENT: Final = 'Hillfield-Event'
 HELD_BACK: Final = str(int(EventCode.TARGET_HELD_BACK))
@@ -46,7 +48,8 @@
     may run again; `trial`: a repeat is left for it, so it may try a doubtful
     target; `urgency`: which targets it takes. `route` and `aim`, the seconds
     in which an answer is worth most, tell how long it should take; `spent`
-    are the seconds since it was first sent.
+    are the seconds since it was first sent, `account` is whose request it is
+    (empty: nobody's).
     """
 
     service: str
@@ -59,6 +62,7 @@
     route: str = ''
     aim: float = 0
     spent: float = 0
+    account: str = ''
 
 
 _ENCODER: Final = Encoder()
@@ -69,9 +73,11 @@
     """Return the header's text.
 
     >>> write_hop(HopOrder('claims', 7, 1, 'desk', True))
-    '["claims",7,1,"desk",true,false,0,"",0,0]'
+    '["claims",7,1,"desk",true,false,0,"",0,0,""]'
+    >>> read_hop(write_hop(HopOrder('leit', 7, 1, 'skrá'))).ok.origin
+    'skrá'
     """
-    return _ENCODER.encode(order).decode('ascii', 'backslashreplace')
+    return _ENCODER.encode(order).decode(WIRE)
 
 
 def read_hop(text: str) -> Result[HopOrder, str]:
@@ -83,8 +89,8 @@
     True
     """
     try:
-        return Ok(_DECODER.decode(text))
-    except MsgspecError as error:
+        return Ok(_DECODER.decode(text.encode(WIRE)))
+    except (MsgspecError, UnicodeError) as error:
         return Error(str(error))
 
 
@@ -111,6 +117,7 @@
             plan.route,
             plan.aim,
             send.spent,
+            plan.account,
         )
         fields.add(HOP, write_hop(order))
 
--- a/hillfield/gate/plans.py
+++ b/hillfield/gate/plans.py
@@ -58,7 +58,7 @@
         return RequestPlan(
             order.service,
             order.route,
-            '',
+            order.account,
             order.idempotent,
             LONGEST,
             maximum_attempts=1,
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -2,15 +2,19 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Final, Protocol
 
 from expression import Error, Ok, Result
 from msgspec import Struct
 from msgspec.structs import replace
 
 from hillfield.configuration.entries import Entry
+from hillfield.configuration.schema.accounts import FleetAccount
 from hillfield.configuration.serving.digests import Digest, hash_revision
 from hillfield.configuration.serving.request_failures import (
+    refuse_caller,
     refuse_missing,
+    refuse_quota,
     refuse_route,
 )
 from hillfield.events import EventCode, Journal, Occurrence
@@ -24,6 +28,10 @@
 )
 from hillfield.proxy.ports import RequestHead
 
+# Ranks that routes may have below one rank of an account.
+ROUTE_RANKS: Final = 1000
+NOBODY: Final = FleetAccount('', ())
+
 TableReader = Callable[[bytes], Result[RouteTable, str]]
 TableListener = Callable[[RouteTable], None]
 
@@ -44,6 +52,27 @@
     safe_checks: AnswerChecks
 
 
+class Quotas(Protocol):
+    """Bound what accounts send over all nodes together."""
+
+    def adopt(self, accounts: tuple[FleetAccount, ...]) -> None:
+        """Take new limits into force."""
+
+    def ask(self, account: FleetAccount) -> float:
+        """Return 0 and count the request, or the seconds to wait."""
+
+
+class NoQuotas:
+    """Let everything through."""
+
+    def adopt(self, accounts: tuple[FleetAccount, ...]) -> None:
+        """Take no limits."""
+
+    def ask(self, account: FleetAccount) -> float:
+        """Let a request through."""
+        return 0
+
+
 class HostPlanner:
     """Plan requests by the newest valid routes.
 
@@ -59,8 +88,12 @@
         random: Random,
         journal: Journal,
     ) -> None:
-        """Start without routes; `listener` is told of each new table."""
+        """Start without routes; `listener` is told of each new table.
+
+        `quotas` is asked before a request of an account is planned.
+        """
         self.generation = 0
+        self.quotas: Quotas = NoQuotas()
         self.listener: TableListener = _tell_nobody
         self._settings = settings
         self._reader = reader
@@ -84,6 +117,7 @@
         version = read.ok.version
         detail = f'version {version} at revision {entry.revision}'
         self._record(EventCode.CONFIGURATION_ADOPTED, detail)
+        self.quotas.adopt(read.ok.accounts or ())
         self.listener(read.ok)
 
     def wants(self, key: str, revision: int) -> bool:
@@ -120,7 +154,13 @@
         route = index.find(head.host, head.path)
         if route is None:
             return Error(refuse_route(head.path))
-        return Ok(self._plan(route))
+        account = _identify(index, route, head)
+        if isinstance(account, RequestFailure):
+            return Error(account)
+        wait = self.quotas.ask(account)
+        if wait:
+            return Error(refuse_quota(account.name, wait))
+        return Ok(self._plan(route, account))
 
     def policy(self, service: str) -> ServicePolicy | None:
         """Return how a service's traffic is treated, if a route leads there."""
@@ -132,18 +172,18 @@
         """Return the services that some route leads to, sorted."""
         return () if self._index is None else self._index.table.services()
 
-    def _plan(self, route: HostRoute) -> RequestPlan:
+    def _plan(self, route: HostRoute, account: FleetAccount) -> RequestPlan:
         settings = self._settings
         checks = settings.safe_checks if route.idempotent else settings.checks
         return RequestPlan(
             route.draw_service(self._random),
             route.name,
-            '',
+            account.name,
             route.idempotent,
             route.timeout,
             maximum_attempts=route.attempts,
             checks=checks,
-            priority=route.priority,
+            priority=account.priority * ROUTE_RANKS + route.priority,
             origin=settings.origin,
             aim=route.aim,
         )
@@ -152,5 +192,28 @@
         self._journal.record(Occurrence(code, step='adopt', detail=detail))
 
 
+def _identify(
+    index: RouteIndex,
+    route: HostRoute,
+    head: RequestHead,
+) -> FleetAccount | RequestFailure:
+    """Return whose request it is; one without a name where none is needed."""
+    if index.table.accounts is None:
+        return NOBODY
+    # A key names its account by itself: one that came with a name is none.
+    key = '' if head.account else head.secret
+    account = index.find_account(key)
+    if account is not None:
+        return account
+    if route.public:
+        return NOBODY
+    if key:
+        return refuse_caller(
+            EventCode.CREDENTIALS_REFUSED,
+            'no account holds this key',
+        )
+    return refuse_caller(EventCode.CREDENTIALS_MISSING, 'send a key')
+
+
 def _tell_nobody(table: RouteTable) -> None:
     """Tell nobody: no one has asked yet."""
--- a/hillfield/hostroutes/routes.py
+++ b/hillfield/hostroutes/routes.py
@@ -5,6 +5,9 @@
 
 from msgspec import Struct
 
+from hillfield.configuration.schema.accounts import FleetAccount
+from hillfield.configuration.schema.credentials import hash_secret
+
 SLASH: Final = '/'
 
 
@@ -24,7 +27,8 @@
     `prefix` begins and ends with a slash. `timeout` is the longest time that
     a request may take, `aim` the time in which an answer is worth most, both
     in seconds; `attempts` how many targets may be asked, `priority` the rank
-    among requests that wait (0 goes first).
+    among requests that wait (0 goes first). Callers of a `public` route need
+    not say who they are.
     """
 
     name: str
@@ -36,6 +40,7 @@
     attempts: int = 1
     priority: int = 0
     aim: float = 0
+    public: bool = False
 
     def draw_service(self, random: Random) -> str:
         """Draw the service of one request by the weights of the parts."""
@@ -55,11 +60,15 @@
 
 
 class RouteTable(Struct, frozen=True):
-    """Hold one version of all routes."""
+    """Hold one version of all routes, and of who may use them.
+
+    Without `accounts` callers need not say who they are.
+    """
 
     version: int
     routes: tuple[HostRoute, ...] = ()
     limits: RouteLimits | None = None
+    accounts: tuple[FleetAccount, ...] | None = None
 
     def services(self) -> tuple[str, ...]:
         """Return the services that some route leads to, sorted."""
@@ -68,7 +77,7 @@
 
 
 class RouteIndex:
-    """Find the route of a request.
+    """Find the route of a request, and the account of a key.
 
     >>> route = HostRoute('r', 'till.example', '/a/', (), True, 1)
     >>> index = RouteIndex(RouteTable(1, (route,)))
@@ -85,6 +94,18 @@
         for route in table.routes:
             prefixes = self._hosts.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
+        self._accounts = {
+            known: account
+            for account in table.accounts or ()
+            for known in account.secret_hashes
+        }
+
+    def find_account(self, key: str) -> FleetAccount | None:
+        """Return the account that holds a key.
+
+        Hashes are looked up, so the time taken tells nothing of the key.
+        """
+        return self._accounts.get(hash_secret(key)) if key else None
 
     def find(self, host: str, path: str) -> HostRoute | None:
         """Return the route with the longest prefix of the path."""
--- a/hillfield/hostroutes/tests/test_planner.py
+++ b/hillfield/hostroutes/tests/test_planner.py
@@ -5,9 +5,11 @@
 from types import MappingProxyType
 
 from expression import Error, Ok
+from msgspec.structs import replace
 from pytest import fixture
 
-from hillfield.configuration import Entry
+from hillfield.configuration import Entry, hash_secret
+from hillfield.configuration.schema.accounts import FleetAccount
 from hillfield.events import EventCode, ListJournal
 from hillfield.hostroutes import (
     HostPlanner,
@@ -112,3 +114,107 @@
     assert planner.services() == ('a', 'b')
     assert planner.policy('a').floor == SETTINGS.policy.floor
     assert planner.policy('c') is None
+
+
+def make_accounts(*held):
+    return tuple(
+        FleetAccount(name, tuple(map(hash_secret, keys)), rank, 10, 10)
+        for name, rank, *keys in held
+    )
+
+
+OPEN = HostRoute('open', TILL, '/open/', (SplitPart('a'),), True, 1)
+BAKER = ('baker', 2, 'k-1', 'k-2')
+KEYED = RouteTable(
+    3,
+    (*ROUTES, replace(OPEN, public=True)),
+    None,
+    make_accounts(BAKER, ('grocer', 0, 'k-3')),
+)
+REVOKED = replace(
+    KEYED,
+    accounts=make_accounts(BAKER[:3], ('grocer', 0, 'k-3')),
+)
+
+
+class Refusing:
+    """Refuse all that accounts send."""
+
+    def adopt(self, accounts):
+        self.accounts = accounts
+
+    def ask(self, account):
+        return 0.75 if account.rate else 0
+
+
+@fixture
+def keyed():
+    tables = {b'3': KEYED, b'4': REVOKED}
+    journal = ListJournal()
+    made = HostPlanner(
+        SETTINGS,
+        lambda payload: Ok(tables[payload]),
+        Random(1),
+        journal,
+    )
+    made.adopt(Entry('routes', 7, b'3'))
+    return made
+
+
+def show_key(planner, key, path='/x/'):
+    return planner.resolve(RequestHead('GET', path, '', key, host=TILL))
+
+
+def test_a_key_tells_whose_request_it_is(keyed):
+    assert show_key(keyed, 'k-2').ok.account == 'baker'
+    assert show_key(keyed, 'k-3').ok.account == 'grocer'
+
+
+def test_unknown_and_missing_keys_are_refused_and_never_shown(keyed):
+    for key in ('k-4', ''):
+        failure = show_key(keyed, key).error
+        assert failure.status == 401
+        assert 'k-4' not in failure.detail
+
+
+def test_a_public_route_needs_no_key_and_tells_who_holds_one(keyed):
+    assert show_key(keyed, '', '/open/').ok.account == ''
+    assert show_key(keyed, 'k-4', '/open/').ok.account == ''
+    assert show_key(keyed, 'k-1', '/open/').ok.account == 'baker'
+
+
+def test_a_revoked_key_is_refused_and_the_other_still_holds(keyed):
+    keyed.adopt(Entry('routes', 8, b'4'))
+    assert show_key(keyed, 'k-2').error.status == 401
+    assert show_key(keyed, 'k-1').ok.account == 'baker'
+
+
+def test_an_account_s_rank_goes_before_its_route_s(keyed):
+    first = show_key(keyed, 'k-3', '/x/y/').ok.priority
+    second = show_key(keyed, 'k-1', '/x/').ok.priority
+    third = show_key(keyed, 'k-1', '/x/y/').ok.priority
+    assert first < second < third
+
+
+def test_an_unknown_route_is_not_found_whatever_the_key(keyed):
+    missing = RequestHead('GET', '/', '', 'k-4', host='other.example')
+    assert keyed.resolve(missing).error.status == 404
+
+
+def test_without_accounts_nobody_needs_a_key(planner):
+    head = RequestHead('GET', '/x/', '', 'k-4', host=TILL)
+    assert planner.resolve(head).ok.account == ''
+
+
+def test_what_lies_beyond_a_limit_is_told_when_to_come_back(keyed):
+    keyed.quotas = Refusing()
+    keyed.adopt(Entry('routes', 8, b'4'))
+    failure = show_key(keyed, 'k-1').error
+    assert (failure.status, failure.retry_after) == (429, 0.75)
+    assert show_key(keyed, '', '/open/').is_ok()
+    assert keyed.quotas.accounts == REVOKED.accounts
+
+
+def test_before_the_first_routes_no_key_is_called_unknown():
+    planner = HostPlanner(SETTINGS, read_table, Random(1), ListJournal())
+    assert show_key(planner, 'k-4').error.status == 503
--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -9,12 +9,15 @@
 from hillfield.announcements import TargetRegistry
 from hillfield.detection.paths import PathBoard
 from hillfield.fleet.feeds import FeedSettings
+from hillfield.gate import Gate
 from hillfield.gate.seating import Seating
 from hillfield.hostroutes import HostPlanner
 from hillfield.model import Address, AnswerChecks
 from hillfield.node.desk import ServiceDesk
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts, Recording
+from hillfield.node.quotas import QuotaExchange
+from hillfield.node.reporting import LoadReporting
 from hillfield.proxy import ProxyServer, ProxySettings, RequestMeter
 from hillfield.routing import DispatcherTable
 from hillfield.settings import NodeSettings
@@ -36,7 +39,8 @@
 
     `callers` and `hops` are the settings of the two servers, `checks` tell a
     wrong answer of the target, `reports` is where load reports come in
-    (datagrams, the same port on all hosts), `relay` how the store is followed,
+    (datagrams, the same port on all hosts) and `quotas` where those of accounts'
+    requests do, `relay` how the store is followed,
     `make_listeners` what else listens.
     """
 
@@ -45,6 +49,7 @@
     callers: ProxySettings
     hops: ProxySettings
     reports: Address
+    quotas: Address
     checks: AnswerChecks
     relay: FeedSettings
     make_listeners: Callable[[Seating, NodePage], tuple[Listening, ...]]
@@ -83,3 +88,32 @@
         ),
         store=fittings.store,
     )
+
+
+def make_reporting(
+    parts: Parts,
+    fittings: Fittings,
+    gate: Gate,
+) -> LoadReporting:
+    """Return what tells others of the room at this host's target."""
+    reporting = LoadReporting(
+        fittings.reports,
+        parts.settings.cluster_key.encode(),
+        gate,
+        parts.desk.follow_report,
+        parts.proxy.deliver,
+    )
+    reporting.socket.counter = parts.metrics.note_datagrams
+    return reporting
+
+
+def make_quotas(parts: Parts, fittings: Fittings) -> QuotaExchange:
+    """Return what holds the limits of accounts, asked by the planner."""
+    quotas = QuotaExchange(
+        fittings.quotas,
+        parts.settings.cluster_key.encode(),
+        Random(),
+    )
+    quotas.socket.counter = parts.metrics.note_datagrams
+    fittings.planner.quotas = quotas
+    return quotas
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -16,10 +16,14 @@
 from hillfield.hostroutes import RouteTable
 from hillfield.model import Address
 from hillfield.node.calls import CallMeter
-from hillfield.node.fittings import Fittings, make_gated_parts
+from hillfield.node.fittings import (
+    Fittings,
+    make_gated_parts,
+    make_quotas,
+    make_reporting,
+)
 from hillfield.node.node import Node, NodeError
 from hillfield.node.parts import Recording
-from hillfield.node.reporting import LoadReporting
 from hillfield.proxy import ProxyServer
 from hillfield.settings import NodeSettings
 
@@ -81,17 +85,12 @@
             self.gate,
             recording.journal,
         )
-        self._reporting = LoadReporting(
-            fittings.reports,
-            settings.cluster_key.encode(),
-            self.gate,
-            parts.desk.follow_report,
-            parts.proxy.deliver,
-        )
-        self._reporting.counter = recording.metrics.note_datagrams
+        self._reporting = make_reporting(parts, fittings, self.gate)
+        self._quotas = make_quotas(parts, fittings)
         self._listeners = (
             *fittings.make_listeners(self.seating, self.page),
             self._reporting,
+            self._quotas,
         )
         self._gate_ticking = PeriodicCallback(
             self._tick_gate,
@@ -138,6 +137,7 @@
         fleet: Fleet,
     ) -> tuple[Coroutine[None, None, None], ...]:
         self._reporting.join(fleet.state.core)
+        self._quotas.join(fleet.state.core)
         relay = OpenRelay(
             fleet,
             self.parts.store,
@@ -169,6 +169,7 @@
     def _tick_gate(self) -> None:
         now = monotonic()
         self.seating.follow_expiry(now)
+        self._quotas.tick(now)
         self._hops.deliver(self.gate.poll(now))
 
     def _adopt_table(self, table: RouteTable) -> None:
--- /dev/null
+++ b/hillfield/node/quotas.py
@@ -0,0 +1,151 @@
+"""Limits of accounts between nodes: reports out, shares in, by datagrams."""
+
+from collections.abc import Iterator, Sequence
+from functools import partial
+from random import Random
+from time import monotonic
+from typing import Final, TypeVar
+
+from hillfield.configuration.schema.accounts import FleetAccount
+from hillfield.fleet.audience import list_alive
+from hillfield.fleet.core import Core
+from hillfield.fleet.records import NodeState
+from hillfield.model import Address
+from hillfield.node.datagrams import DatagramSocket
+from hillfield.quotas import (
+    LocalUse,
+    Membership,
+    QuotaCodec,
+    ShareRow,
+    UseCounter,
+    UseRow,
+)
+from hillfield.quotas.messages import Shares, Uses
+
+# Rows of one datagram; those that don't fit go in a further one.
+ROWS_AT_ONCE: Final = 16
+# Seconds between looks at what is to be reported.
+LOOK_AGAIN: Final = 0.2
+
+Row = TypeVar('Row')
+
+
+class QuotaExchange:
+    """Implement `Quotas` together with the other nodes of the fleet.
+
+    A request is decided here by what is known; reports follow.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        key: bytes,
+        random: Random,
+    ) -> None:
+        """Prepare; nothing is opened before `start`."""
+        self.socket = DatagramSocket(address, self._take)
+        self._codec = QuotaCodec(key)
+        self._local = LocalUse(random)
+        self._counts = UseCounter()
+        self._members = Membership()
+        self._core: Core | None = None
+        self._looked: float = 0
+
+    def join(self, core: Core) -> None:
+        """Take what the node knows of its fleet."""
+        self._core = core
+
+    def start(self) -> None:
+        """Open the socket; raises `OSError` when it can't be had."""
+        self.socket.start()
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        await self.socket.stop()
+
+    def adopt(self, accounts: tuple[FleetAccount, ...]) -> None:
+        """Take new limits into force."""
+        self._counts.adopt(accounts)
+
+    def ask(self, account: FleetAccount) -> float:
+        """Return 0 and count the request, or the seconds to wait."""
+        return self._local.ask(monotonic(), account)
+
+    def tick(self, now: float) -> None:
+        """Report what is due."""
+        core = self._core
+        if core is None or now - self._looked < LOOK_AGAIN:
+            return
+        self._looked = now
+        self._members.follow(now, core.book.alive, partial(_has_left, core))
+        due = self._local.list_due(now)
+        if due:
+            self._report(core, due, now)
+        news = self._counts.list_news(now, self._members.part)
+        if news:
+            self._tell_all(core, news, now)
+
+    def _report(
+        self,
+        core: Core,
+        due: tuple[UseRow, ...],
+        now: float,
+    ) -> None:
+        own = core.own.record.name
+        by_counter: dict[str, list[UseRow]] = {}
+        for row in due:
+            counter = self._members.find_counter(row.account) or own
+            by_counter.setdefault(counter, []).append(row)
+        for counter, rows in by_counter.items():
+            if counter == own:
+                self._local.take(now, self._count(now, own, tuple(rows)))
+                continue
+            record = core.book.records.get(counter)
+            if record is not None:
+                for packed in _split(rows):
+                    self._send(Uses(own, packed), record.link.ip)
+
+    def _tell_all(
+        self,
+        core: Core,
+        news: tuple[ShareRow, ...],
+        now: float,
+    ) -> None:
+        self._local.take(now, news)
+        own = core.own.record.name
+        others = [
+            record.link.ip for record in list_alive(core) if record.name != own
+        ]
+        for rows in _split(news):
+            self._send(Shares(rows), *others)
+
+    def _count(
+        self,
+        now: float,
+        sender: str,
+        rows: tuple[UseRow, ...],
+    ) -> tuple[ShareRow, ...]:
+        return self._counts.take(now, sender, rows, self._members.part)
+
+    def _take(self, datagram: bytes, ip: str) -> None:
+        now = monotonic()
+        match self._codec.open(datagram):
+            case Uses(sender=sender, rows=rows):
+                shares = self._count(now, sender, rows)
+                if shares:
+                    self._send(Shares(shares), ip)
+            case Shares(rows=shares):
+                self._local.take(now, shares)
+
+    def _send(self, message: Uses | Shares, *hosts: str) -> None:
+        self.socket.send(self._codec.seal(message), hosts)
+
+
+def _has_left(core: Core, name: str) -> bool:
+    record = core.book.records.get(name)
+    return record is not None and record.state is NodeState.LEAVING
+
+
+def _split(rows: Sequence[Row]) -> Iterator[tuple[Row, ...]]:
+    for start in range(0, len(rows), ROWS_AT_ONCE):
+        yield tuple(rows[start : start + ROWS_AT_ONCE])
--- a/hillfield/node/tests/test_reporting.py
+++ b/hillfield/node/tests/test_reporting.py
@@ -48,7 +48,7 @@
             self.take,
             self.delivered.extend,
         )
-        self.reporting.counter = self.count
+        self.reporting.socket.counter = self.count
 
     @property
     def passed(self):
@@ -139,7 +139,7 @@
         forged = LoadReport('s', identity.address.ip, 80, 1, 99, 0)
         told = (hosts[1].address.ip,)
         for datagram in (b'stray', ReportCodec(b'other').seal(forged)):
-            hosts[0].reporting._send(datagram, told, 'sent')
+            hosts[0].reporting.socket.send(datagram, told)
         await asyncio.sleep(0.1)
         await close_hosts(hosts)
         hosts[0].reporting.note(20)
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -10,8 +10,8 @@
 from hillfield.model import Address, Locality, parse_address
 from hillfield.settings import (
     AnnouncementSettings,
-    ListenSettings,
     LimitSettings,
+    ListenSettings,
     NodeSettings,
 )
 
@@ -21,6 +21,7 @@
 HOPS: Final = 1
 CONTROL: Final = 2
 REPORTS: Final = 3
+QUOTAS: Final = 4
 # All nodes of one platform are one cluster. Its network is the platform's
 # own, so the key only keeps stray messages out.
 CLUSTER: Final = 'platform'
@@ -97,6 +98,7 @@
     heartbeats: Address
     hops: Address
     reports: Address
+    quotas: Address
     grace: float
     retry_ratio: float
     floor: float
@@ -126,6 +128,7 @@
         heartbeats=_read_address('listen.control', wire.listen.control),
         hops=Address(wire.ip, wire.internal_ports[0] + HOPS),
         reports=Address(wire.ip, wire.internal_ports[0] + REPORTS),
+        quotas=Address(wire.ip, wire.internal_ports[0] + QUOTAS),
         grace=wire.bound('graceS', GRACE),
         retry_ratio=wire.bound('retryBudgetRatio', RETRY_RATIO),
         floor=wire.bound('floorShare', FLOOR),
--- a/hillfield/platform/configuration.py
+++ b/hillfield/platform/configuration.py
@@ -34,6 +34,7 @@
     action: Action
     aim: float = field(name='targetLatencyS', default=0)
     priority: int = 0
+    public: bool = False
 
 
 class Listener(Struct, frozen=True):
@@ -52,9 +53,20 @@
     idle_timeout: float = field(name='idleTimeoutS')
 
 
+class Tenant(Struct, frozen=True, rename='camel'):
+    """Hold a client account: the keys of its callers and its limit."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int = 0
+    rate: float = field(name='ratePerS', default=0)
+    burst: float = 0
+
+
 class Configuration(Struct, frozen=True):
     """Hold one version of the operator's configuration."""
 
     version: int
     listeners: tuple[Listener, ...]
     limits: Limits | None = None
+    tenants: tuple[Tenant, ...] | None = None
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -93,6 +93,7 @@
             callers=self._make_caller_settings(),
             hops=self._make_hop_settings(),
             reports=self._boot.reports,
+            quotas=self._boot.quotas,
             checks=SIGNED,
             relay=FeedSettings(
                 (KEY,),
--- a/hillfield/platform/headers.py
+++ b/hillfield/platform/headers.py
@@ -23,22 +23,28 @@
 TARGET_NAME: Final = 'X-Target-Instance'
 # The service on whose host a request began.
 ORIGIN: Final = 'X-Caller-Service'
+# The account that holds the caller's key.
+ACCOUNT: Final = 'X-Tenant'
+KEY_SCHEME: Final = 'Token'
 # A digest that only the target that made an answer can write.
 SIGNATURE: Final = 'X-Server-Signature'
 # Says that a target did not run the request, whatever the status.
 NOT_RUN: Final = 'X-Not-Executed'
 MISDIRECTED: Final[int] = HTTPStatus.MISDIRECTED_REQUEST
 
-# Callers say `X-Deadline`; what only a node may say ends at the node.
+# What only a node may say, or what it says anew, ends at the node.
+OWN: Final = frozenset((DEADLINE, TARGET_NAME, ORIGIN, ACCOUNT))
 CALLERS: Final = CallerDialect(
     deadline=DEADLINE,
-    removed=frozenset((DEADLINE, TARGET_NAME, ORIGIN)),
+    key_scheme=KEY_SCHEME,
+    removed=OWN,
     keeps_ids=True,
     fractional=True,
 )
 # Other nodes speak as hillfield's own nodes do.
 HOPS: Final = CallerDialect(
-    removed=frozenset((DEADLINE, TARGET_NAME, ORIGIN)),
+    key_scheme=KEY_SCHEME,
+    removed=OWN,
     keeps_ids=True,
     fractional=True,
 )
@@ -62,9 +68,11 @@
         send: Send,
         remaining: float,
     ) -> None:
-        """Add the time left, the life meant and the service of the origin."""
+        """Add the time left, the life meant, where it began and for whom."""
         fields.add(DEADLINE, show_milliseconds(remaining))
         fields.add(ORIGIN, plan.origin)
+        if plan.account:
+            fields.add(ACCOUNT, plan.account)
         seat = self._find_seat()
         if seat is not None and seat.target.id == send.target:
             fields.add(TARGET_NAME, seat.name)
--- a/hillfield/platform/routes.py
+++ b/hillfield/platform/routes.py
@@ -6,8 +6,15 @@
 from msgspec import DecodeError, ValidationError
 from msgspec.json import decode
 
+from hillfield.configuration.schema.accounts import FleetAccount
+from hillfield.configuration.schema.credentials import hash_secret
 from hillfield.hostroutes import HostRoute, RouteLimits, RouteTable, SplitPart
-from hillfield.platform.configuration import Configuration, Limits, Rule
+from hillfield.platform.configuration import (
+    Configuration,
+    Limits,
+    Rule,
+    Tenant,
+)
 
 # The store's key of the newest configuration.
 KEY: Final = 'op/config'
@@ -32,6 +39,7 @@
                 for rule in listener.rules
             ),
             None if wire.limits is None else _make_limits(wire.limits),
+            _make_accounts(wire.tenants),
         ),
     )
 
@@ -42,7 +50,8 @@
         for listener in wire.listeners
         for rule in listener.rules
     )
-    return next(filter(None, problems), '')
+    first = next(filter(None, problems), '')
+    return first or find_account_problem(wire.tenants or ())
 
 
 def _find_rule_problem(host: str, rule: Rule) -> str:
@@ -72,6 +81,7 @@
         max(1, action.max_attempts),
         rule.priority,
         rule.aim,
+        rule.public,
     )
 
 
@@ -82,3 +92,43 @@
         limits.header_timeout,
         limits.idle_timeout,
     )
+
+
+def find_account_problem(tenants: tuple[Tenant, ...]) -> str:
+    """Return what is wrong with the accounts; keys are never shown."""
+    holders: dict[str, str] = {}
+    problems = (_find_tenant_problem(tenant, holders) for tenant in tenants)
+    return next(filter(None, problems), '')
+
+
+def _find_tenant_problem(tenant: Tenant, holders: dict[str, str]) -> str:
+    """Return what is wrong with one; notes who holds its keys."""
+    where = f'tenant {tenant.name!r}'
+    if not (tenant.name.isascii() and tenant.name.isprintable()):
+        return f'{where}: name must be printable ASCII'
+    if not tenant.name:
+        return f'{where}: name must not be empty'
+    if tenant.rate < 0 or tenant.burst < 0:
+        return f'{where}: ratePerS and burst must not be below 0'
+    for key in tenant.api_keys:
+        holder = holders.setdefault(key, tenant.name)
+        if not key or holder != tenant.name:
+            return f'{where}: apiKeys: one is empty or that of {holder!r}'
+    return ''
+
+
+def _make_accounts(
+    tenants: tuple[Tenant, ...] | None,
+) -> tuple[FleetAccount, ...] | None:
+    if tenants is None:
+        return None
+    return tuple(
+        FleetAccount(
+            tenant.name,
+            tuple(map(hash_secret, tenant.api_keys)),
+            tenant.priority,
+            tenant.rate,
+            tenant.burst,
+        )
+        for tenant in tenants
+    )
--- a/hillfield/platform/store.py
+++ b/hillfield/platform/store.py
@@ -9,7 +9,6 @@
 from msgspec.json import encode
 
 from hillfield.events import Journal
-from hillfield.platform.calls import Call, Caller
 from hillfield.platform.items import (
     Events,
     Failed,
@@ -30,6 +29,7 @@
     StoreError,
     StoreSettings,
 )
+from hillfield.store.httpcalls import Call, Caller
 
 # Seconds that a watch waits for an event: each counts as a call. What one
 # that fell silent misses is found by reading the key anew.
--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -45,7 +45,7 @@
     }
 
 
-def make_configuration(version, *rules, limits=None):
+def make_configuration(version, *rules, limits=None, **more):
     names = {rule['action']['service'] for rule in rules}
     return encode(
         {
@@ -56,6 +56,7 @@
                 {'name': name, 'healthPath': '/h', 'maxConnections': 390}
                 for name in sorted(names)
             ],
+            **more,
         },
     )
 
--- a/hillfield/platform/tests/standin_target.py
+++ b/hillfield/platform/tests/standin_target.py
@@ -19,6 +19,8 @@
     method: str
     path: str
     body: bytes
+    account: str | None = None
+    credentials: str | None = None
 
 
 class StandInTarget:
@@ -121,6 +123,8 @@
                 self.request.method,
                 self.request.uri,
                 self.request.body,
+                headers.get('X-Tenant'),
+                headers.get('Authorization'),
             ),
         )
         await asyncio.sleep(3600 if target.mood == 'hang' else target.seconds)
--- a/hillfield/platform/tests/test_names.py
+++ b/hillfield/platform/tests/test_names.py
@@ -11,7 +11,7 @@
     'X-Deadline(?!-Ms)|X-Target-Instance|X-Caller-Service|X-Server-Signature'
     '|X-Server-Load|X-Not-Executed|X-Instance-Id|/kv-|expectedRev|hasMore'
     '|currentRev|HILLFIELD_BOOT|appAddr|heartbeatS|warmupLeftS|trafficSplit'
-    '|targetLatencyS|timeoutS|maxAttempts|op/config|internalPorts|waitMs'
+    '|X-Tenant|ratePerS|apiKeys|targetLatencyS|timeoutS|maxAttempts|op/config|internalPorts|waitMs'
 )
 
 
--- a/hillfield/proxy/dialects.py
+++ b/hillfield/proxy/dialects.py
@@ -21,6 +21,8 @@
     """Say how callers and this node speak.
 
     `deadline` names the header with the milliseconds that a caller waits,
+    `key_scheme` the scheme of credentials that are one bare key (empty: only
+    HTTP Basic is read),
     `removed` the headers that are not passed on (named as tornado normalises
     them), `keeps_ids` says that a request's id is passed on as it came even
     if one like it is in flight, `fractional` that callers understand
@@ -28,6 +30,7 @@
     """
 
     deadline: str = DEADLINE
+    key_scheme: str = ''
     removed: frozenset[str] = frozenset()
     keeps_ids: bool = False
     fractional: bool = False
--- a/hillfield/proxy/heads.py
+++ b/hillfield/proxy/heads.py
@@ -49,7 +49,8 @@
 _REQUEST_ID: Final = re.compile('[A-Za-z0-9._:/+=-]{1,128}')
 _MILLISECONDS: Final = re.compile('[0-9]{1,12}')
 _ABSOLUTE: Final = re.compile('https?://[^/?#]+', re.IGNORECASE)
-_BASIC: Final = 'basic '
+_AUTHORIZATION: Final = 'Authorization'
+_BASIC: Final = 'basic'
 _PER_SECOND: Final = 1000
 
 
@@ -58,18 +59,21 @@
 
     `request` is the id that others see, `key` the one by which this node
     tells the request from all others in flight, `node` the name for `Via`
-    (empty: none is added), `removed` the headers that end here.
+    (empty: none is added), `removed` the headers that end here, `key_scheme`
+    the scheme of credentials beside HTTP Basic that end here as well.
     """
 
     request: str
     key: str
     node: str
     removed: frozenset[str] = frozenset()
+    key_scheme: str = ''
 
 
 def read_request_head(
     start_line: RequestStartLine,
     headers: HTTPHeaders,
+    key_scheme: str = '',
 ) -> RequestHead:
     """Return what a plan depends on.
 
@@ -77,7 +81,10 @@
     >>> read_request_head(line, HTTPHeaders()).path
     '/a?b'
     """
-    account, secret = read_credentials(headers.get('Authorization', ''))
+    account, secret = read_credentials(
+        headers.get(_AUTHORIZATION, ''),
+        key_scheme,
+    )
     return RequestHead(
         start_line.method,
         read_path(start_line.path),
@@ -104,18 +111,26 @@
     return f'/{path}'
 
 
-def read_credentials(text: str) -> tuple[str, str]:
-    """Return account and secret of HTTP Basic credentials, or blanks.
+def read_credentials(text: str, key_scheme: str = '') -> tuple[str, str]:
+    """Return account and secret, or blanks.
+
+    They come as HTTP Basic credentials or, where there is a `key_scheme`, as
+    one key, which names its account by itself.
 
     >>> read_credentials('Basic dGlsbDpvcGVu')
     ('till', 'open')
     >>> read_credentials('Bearer x')
     ('', '')
+    >>> read_credentials('Bearer x', 'Bearer')
+    ('', 'x')
     """
-    if text[: len(_BASIC)].lower() != _BASIC:
+    scheme, _, rest = text.partition(' ')
+    if key_scheme and scheme.lower() == key_scheme.lower():
+        return '', rest.strip()
+    if scheme.lower() != _BASIC:
         return '', ''
     try:
-        decoded = b64decode(text[len(_BASIC) :], validate=True).decode()
+        decoded = b64decode(rest, validate=True).decode()
     except (Base64Error, ValueError):
         return '', ''
     account, _, secret = decoded.partition(':')
@@ -154,7 +169,7 @@
     passed = Fields(
         pair
         for pair in _select(headers, passage.removed)
-        if not _is_credentials(pair)
+        if not _is_credentials(pair, passage.key_scheme)
     )
     if passage.node:
         passed.add('Via', f'1.1 {passage.node}')
@@ -171,9 +186,12 @@
     return passed
 
 
-def _is_credentials(pair: tuple[str, str]) -> bool:
+def _is_credentials(pair: tuple[str, str], key_scheme: str) -> bool:
     name, text = pair
-    return name == 'Authorization' and text.lower().startswith(_BASIC)
+    if name != _AUTHORIZATION:
+        return False
+    scheme = text.strip().partition(' ')[0].lower()
+    return scheme in {_BASIC, key_scheme.lower()}
 
 
 def _select(
--- a/hillfield/proxy/requests.py
+++ b/hillfield/proxy/requests.py
@@ -137,12 +137,12 @@
         start_line: RequestStartLine,
         headers: HTTPHeaders,
     ) -> Result[Order, RequestFailure]:
-        head = read_request_head(start_line, headers)
+        dialect = self._context.settings.callers
+        head = read_request_head(start_line, headers, dialect.key_scheme)
         resolved = self._context.plans.resolve(head)
         if resolved.is_error():
             return Error(resolved.error)
         plan: RequestPlan = resolved.ok
-        dialect = self._context.settings.callers
         given = headers.get(dialect.deadline)
         deadline = read_deadline(given, plan.deadline)
         if deadline is None:
@@ -164,6 +164,7 @@
                     self._key,
                     self._context.settings.node,
                     dialect.removed,
+                    dialect.key_scheme,
                 ),
                 monotonic() + deadline,
             ),
--- a/hillfield/platform/calls.py
+++ b/hillfield/store/httpcalls.py
@@ -1,4 +1,4 @@
-"""Carry the calls to the platform's store over HTTP."""
+"""Carry a store's calls over HTTP, with bodies in JSON."""
 
 from http import HTTPStatus
 from typing import Final, TypeVar
@@ -15,7 +15,7 @@
 from hillfield.store.reports import Reports
 
 WRITES: Final = frozenset((CallKind.SWAP, CallKind.GRANT, CallKind.REVOKE))
-# Answers by which the platform says that it did nothing.
+# Answers by which the store says that it did nothing.
 NOT_DONE: Final = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE),
 )
@@ -56,7 +56,7 @@
         return answer.bind(lambda whole: self.read(call, whole, kind))
 
     async def send(self, call: Call) -> Result[HTTPResponse, StoreError]:
-        """Send a call; what the platform did not do is an error."""
+        """Send a call; what the store did not do is an error."""
         self.counts.note_started(call.kind)
         try:
             with self.counts.calling():
@@ -100,7 +100,7 @@
             return Error(error)
 
     def fail(self, call: Call, detail: str, *, sent: bool) -> StoreError:
-        """Build and count an error; `sent`: the platform may have acted."""
+        """Build and count an error; `sent`: the store may have acted."""
         maybe_done = sent and call.kind in WRITES
         self.counts.note_failed(call.kind, maybe_done=maybe_done)
         return StoreError(f'store {call.kind}', self._peer, detail, maybe_done)
