--- a/hillfield/proxy/callers.py
+++ b/hillfield/proxy/callers.py
@@ -36,6 +36,7 @@
         self._incoming: IncomingRequest | None = None
         self._waiting_since = float()
         self._received_before = 0
+        self._head_since: float | None = None
         self._writing_since = get_running_loop().time()
         self._written_before = 0
 
@@ -92,11 +93,13 @@
         self._writing_since = now
         if not stream.reading_head or stream.lingering:
             return
-        waited = now - self._waiting_since
         if self.is_idle():
-            if waited > settings.idle_timeout:
+            if now - self._waiting_since > settings.idle_timeout:
                 stream.close()
-        elif waited > settings.head_timeout:
+        elif self._head_since is None:
+            # It may be whole already, and be read in the next turn.
+            self._head_since = now
+        elif now - self._head_since > settings.head_timeout:
             stream.refuse(Fault.SLOW_REQUEST.failure('the head did not come'))
 
     def _sweep_writing(self, now: float) -> None:
@@ -125,6 +128,7 @@
             reply = Reply(connection, self.stream, dialect)
             self._incoming = IncomingRequest(self._context, reply)
             self._waiting_since = get_running_loop().time()
+            self._head_since = None
             self._received_before = self.stream.received - self.stream.unread
             serving = await connection.read_response(self._incoming)
         await self.stream.drain()
--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -103,6 +103,9 @@
         self.reading_head = True
         head = await super().read_until_regex(regex, max_bytes)
         self.reading_head = False
+        if self.lingering:
+            # A refusal has been told meanwhile: what comes after does not run.
+            raise StreamClosedError
         failure = screen_head(head, self.settings)
         if failure is None:
             return head
--- a/hillfield/proxy/tests/test_faults.py
+++ b/hillfield/proxy/tests/test_faults.py
@@ -10,6 +10,7 @@
 
 from hillfield.events import EventCode
 from hillfield.model import AnswerChecks, Outcome, RequestPlan
+from hillfield.proxy.failures import Fault
 from hillfield.routing.requests import (
     Answered,
     Broken,
@@ -264,6 +265,41 @@
     assert answer.startswith(b'HTTP/1.1 408')
 
 
+def find_connection(path):
+    return next(iter(path.server._connections.tasks))
+
+
+async def test_a_head_is_timed_from_its_first_byte(path):
+    """A kept connection rests longer than a head may take."""
+    await path.start(head_timeout=0.01)
+    reader, writer = await path.open()
+    writer.write(GET)
+    head = await path.read(reader)
+    assert b'200' in head[0]
+    await asyncio.sleep(0.05)
+    connection = find_connection(path)
+    # Bytes of the next head have come in this turn of the loop.
+    connection.stream.received += 1
+    connection.sweep(asyncio.get_running_loop().time())
+    assert not connection.stream.lingering
+
+
+async def test_what_comes_after_a_refusal_does_not_run(path):
+    target = await path.start()
+    reader, writer = await path.open()
+    await asyncio.sleep(0.01)
+    connection = find_connection(path)
+    writer.write(POST)
+    # The head is taken in, and refused before its reader goes on.
+    connection.stream._handle_read()
+    connection.stream.refuse(Fault.SLOW_REQUEST.failure('late'))
+    answer = await reader.read()
+    assert answer.startswith(b'HTTP/1.1 408')
+    assert answer.count(b'HTTP/1.1') == 1
+    await asyncio.sleep(0.05)
+    assert not target.requests
+
+
 async def test_caller_that_leaves_is_cancelled_at_the_target(path):
     target = await path.start(stall)
     _, writer = await path.open()
