--- a/hillfield/cli/config/options.py
+++ b/hillfield/cli/config/options.py
@@ -14,8 +14,9 @@
 from hillfield.configuration.editing import Editor
 from hillfield.model import parse_address
 from hillfield.settings.node import check_cluster
-from hillfield.store import OpenStore, StoreSettings
-from hillfield.store import open_store as open_gateway
+from hillfield.store.ports import OpenStore
+from hillfield.store.store_settings import StoreSettings
+from hillfield.store.opening import open_store as open_gateway
 
 DEFAULT_CLUSTER: Final = 'hillfield'
 Ending = TypeVar('Ending')
--- a/hillfield/cli/config/problems.py
+++ b/hillfield/cli/config/problems.py
@@ -6,11 +6,11 @@
 from typer import echo
 
 from hillfield.cli.exits import ExitCode, leave
-from hillfield.configuration import (
+from hillfield.configuration.documents.files import (
     Configuration,
-    ConfigurationProblem,
     read_configuration,
 )
+from hillfield.configuration.schema.problems import ConfigurationProblem
 
 
 def load_files(source: Path, json: bool) -> Configuration:
--- a/hillfield/cli/node.py
+++ b/hillfield/cli/node.py
@@ -6,7 +6,7 @@
 from typer import Option
 
 from hillfield.cli.exits import ExitCode, leave
-from hillfield.node import run_node
+from hillfield.node.direct import run_node
 from hillfield.settings import read_settings
 
 
--- a/hillfield/configuration/documents/tests/test_files.py
+++ b/hillfield/configuration/documents/tests/test_files.py
@@ -5,12 +5,12 @@
 import pytest
 from expression import Result
 
-from hillfield.configuration import (
+from hillfield.configuration.documents.files import (
     Configuration,
-    Idempotency,
-    ServiceUse,
     read_configuration,
 )
+from hillfield.configuration.schema.accounts import ServiceUse
+from hillfield.configuration.schema.templates import Idempotency
 from hillfield.configuration.documents.conversion import Problems
 
 GOOD = """
--- a/hillfield/configuration/documents/tests/test_rendering.py
+++ b/hillfield/configuration/documents/tests/test_rendering.py
@@ -3,16 +3,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hillfield.configuration import (
+from hillfield.configuration.documents.files import (
+    Configuration,
+    read_configuration,
+)
+from hillfield.configuration.schema.accounts import ClientAccount, ServiceUse
+from hillfield.configuration.schema.templates import (
     AccountParameters,
     Bounds,
-    ClientAccount,
-    Configuration,
     Idempotency,
     RouteRule,
-    ServiceUse,
     Template,
-    read_configuration,
 )
 from hillfield.configuration.documents.rendering import render_document
 from hillfield.configuration.editing.differences import find_differences
--- a/hillfield/configuration/editing/tests/test_editor.py
+++ b/hillfield/configuration/editing/tests/test_editor.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from hillfield.configuration import (
+from hillfield.configuration.public import (
     AccountParameters,
     Bounds,
     ClientAccount,
@@ -37,12 +37,12 @@
 from hillfield.configuration.storage.keys import bucket_of
 from hillfield.emulator.store_faults import Outage, StoreFaults
 from hillfield.emulator.store_memory import MemoryStore
-from hillfield.store import (
+from hillfield.store.ports import (
     Accepted,
     Change,
     Conflict,
-    StoredValue,
     StoreError,
+    StoredValue,
 )
 
 Kind = TypeVar('Kind')
--- a/hillfield/configuration/serving/tests/test_replica.py
+++ b/hillfield/configuration/serving/tests/test_replica.py
@@ -5,16 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hillfield.configuration import (
-    Adopted,
-    Entry,
-    Invalid,
-    KeyRevision,
-    Replica,
-    RouteRule,
-    Stale,
-    Template,
-)
+from hillfield.configuration.entries import Entry
+from hillfield.configuration.schema.templates import RouteRule, Template
+from hillfield.configuration.serving.adoptions import Adopted, Invalid, Stale
+from hillfield.configuration.serving.digests import KeyRevision
+from hillfield.configuration.serving.replica import Replica
 from hillfield.configuration.storage.payloads import encode_stored
 from hillfield.configuration.storage.stored import StoredTemplate
 from hillfield.events import EventCode, ListJournal
--- a/hillfield/configuration/serving/tests/test_view.py
+++ b/hillfield/configuration/serving/tests/test_view.py
@@ -3,18 +3,17 @@
 import pytest
 from msgspec.structs import replace
 
-from hillfield.configuration import (
+from hillfield.configuration.entries import Entry
+from hillfield.configuration.schema.accounts import ClientAccount, ServiceUse
+from hillfield.configuration.schema.templates import (
     AccountParameters,
     Bounds,
-    ClientAccount,
-    ConfigurationView,
-    Entry,
     Idempotency,
-    Replica,
     RouteRule,
-    ServiceUse,
     Template,
 )
+from hillfield.configuration.serving.replica import Replica
+from hillfield.configuration.serving.view import ConfigurationView
 from hillfield.configuration.schema.credentials import hash_secret
 from hillfield.configuration.schema.templates import derive_policy
 from hillfield.configuration.serving.directory import AccountDirectory
--- a/hillfield/configuration/tests/test_examples.py
+++ b/hillfield/configuration/tests/test_examples.py
@@ -4,12 +4,10 @@
 from asyncio import run
 from pathlib import Path
 
-from hillfield.configuration import (
-    ConfigurationView,
-    Entry,
-    Replica,
-    read_configuration,
-)
+from hillfield.configuration.documents.files import read_configuration
+from hillfield.configuration.entries import Entry
+from hillfield.configuration.serving.replica import Replica
+from hillfield.configuration.serving.view import ConfigurationView
 from hillfield.configuration.editing import Authorship, Editor
 from hillfield.emulator.store_memory import MemoryStore
 from hillfield.proxy.ports import RequestHead
--- a/hillfield/configuration/tests/test_measurement.py
+++ b/hillfield/configuration/tests/test_measurement.py
@@ -1,6 +1,7 @@
 """The sample that costs are measured with is a whole configuration."""
 
-from hillfield.configuration import ConfigurationView, Replica
+from hillfield.configuration.serving.replica import Replica
+from hillfield.configuration.serving.view import ConfigurationView
 from hillfield.configuration.measurement import (
     fill,
     measure_size,
--- a/hillfield/demo/changes.py
+++ b/hillfield/demo/changes.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from hillfield.configuration import Configuration
+from hillfield.configuration.documents.files import Configuration
 from hillfield.configuration.editing import Authorship, Editor
 from hillfield.demo.fleet import LocalFleet
 from hillfield.demo.layout import CLUSTER, HostPlan
@@ -17,7 +17,8 @@
 from hillfield.demo.waiting import wait_until
 from hillfield.emulator import AcceptedFact
 from hillfield.events import ListJournal
-from hillfield.store import StoreSettings, open_store
+from hillfield.store.opening import open_store
+from hillfield.store.store_settings import StoreSettings
 
 LONGER: Final = 1
 
--- a/hillfield/demo/traffic.py
+++ b/hillfield/demo/traffic.py
@@ -9,9 +9,9 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from hillfield.configuration import (
-    SECRETS_FILE,
+from hillfield.configuration.documents.files import (
     Configuration,
+    SECRETS_FILE,
     read_configuration,
 )
 from hillfield.demo.layout import Layout
--- a/hillfield/detection/tests/test_board.py
+++ b/hillfield/detection/tests/test_board.py
@@ -3,12 +3,9 @@
 import pytest
 from msgspec.structs import replace
 
-from hillfield.detection import (
-    Evidence,
-    HealthBoard,
-    Symptom,
-    TargetExplanation,
-)
+from hillfield.detection.board import HealthBoard
+from hillfield.detection.evidence import Evidence, Symptom
+from hillfield.detection.explanations import TargetExplanation
 from hillfield.events import EventCode
 from hillfield.model import (
     Address,
--- a/hillfield/detection/tests/test_invariants.py
+++ b/hillfield/detection/tests/test_invariants.py
@@ -7,7 +7,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from msgspec.structs import replace
 
-from hillfield.detection import Evidence, HealthBoard, Symptom
+from hillfield.detection.board import HealthBoard
+from hillfield.detection.evidence import Evidence, Symptom
 from hillfield.model import (
     Address,
     Locality,
--- a/hillfield/detection/tests/test_sharing.py
+++ b/hillfield/detection/tests/test_sharing.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from hillfield.detection import Evidence, HealthBoard, Symptom
+from hillfield.detection.board import HealthBoard
+from hillfield.detection.evidence import Evidence, Symptom
 from hillfield.detection.reports import MOST_NODES, Reports, Statement
 from hillfield.model import Address, Locality, ServicePolicy, Target, TargetId
 from hillfield.routing.requests import Answered
--- a/hillfield/emulator/store_calls.py
+++ b/hillfield/emulator/store_calls.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct
 
-from hillfield.store import CallKind
+from hillfield.store.counters import CallKind
 
 
 class CallCell(Struct, frozen=True, order=True):
--- a/hillfield/emulator/store_handlers.py
+++ b/hillfield/emulator/store_handlers.py
@@ -19,7 +19,7 @@
     write_finished,
     write_reading,
 )
-from hillfield.store import CallKind
+from hillfield.store.counters import CallKind
 from hillfield.store.wire import (
     Message,
     MessageKind,
--- a/hillfield/emulator/store_lease_handlers.py
+++ b/hillfield/emulator/store_lease_handlers.py
@@ -3,7 +3,7 @@
 from hillfield.emulator.store_core import INVALID, NOT_FOUND
 from hillfield.emulator.store_handlers import GatewayHandler
 from hillfield.emulator.store_values import Refusal
-from hillfield.store import CallKind
+from hillfield.store.counters import CallKind
 from hillfield.store.wire import Header
 from hillfield.store.wire_leases import (
     GrantRequest,
--- a/hillfield/emulator/store_memory.py
+++ b/hillfield/emulator/store_memory.py
@@ -19,14 +19,14 @@
     write_finished,
     write_reading,
 )
-from hillfield.store import (
+from hillfield.store.counters import CallKind
+from hillfield.store.ports import (
     Accepted,
-    CallKind,
     Change,
     Conflict,
     Page,
-    StoredValue,
     StoreError,
+    StoredValue,
 )
 from hillfield.store.gateway_messages import (
     build_range,
--- a/hillfield/emulator/store_watch_handler.py
+++ b/hillfield/emulator/store_watch_handler.py
@@ -14,7 +14,7 @@
 from hillfield.emulator.store_state import StoreState
 from hillfield.emulator.store_values import Refusal, Span
 from hillfield.emulator.store_wire import write_change
-from hillfield.store import CallKind
+from hillfield.store.counters import CallKind
 from hillfield.store.wire import Header, encode_message
 from hillfield.store.wire_watches import (
     WatchLine,
--- a/hillfield/emulator/tests/test_store_conformance.py
+++ b/hillfield/emulator/tests/test_store_conformance.py
@@ -9,16 +9,16 @@
 from hillfield.emulator.store_faults import Outage, StoreFaults
 from hillfield.emulator.store_memory import MemoryStore
 from hillfield.emulator.store_server import StoreServer
-from hillfield.store import (
+from hillfield.store.gateway import GatewayStore
+from hillfield.store.ports import (
     Accepted,
     Change,
     Conflict,
-    GatewayStore,
     Page,
     Store,
     StoredValue,
-    StoreSettings,
 )
+from hillfield.store.store_settings import StoreSettings
 
 
 @asynccontextmanager
--- a/hillfield/emulator/tests/test_store_control.py
+++ b/hillfield/emulator/tests/test_store_control.py
@@ -15,7 +15,10 @@
 from hillfield.emulator.store_faults import Outage, StoreFaults
 from hillfield.emulator.store_server import StoreServer
 from hillfield.model import Address, parse_address
-from hillfield.store import CallKind, Change, GatewayStore, StoreSettings
+from hillfield.store.counters import CallKind
+from hillfield.store.gateway import GatewayStore
+from hillfield.store.ports import Change
+from hillfield.store.store_settings import StoreSettings
 
 
 async def call(address: Address, path: str, **choices: Any) -> Any:
--- a/hillfield/emulator/tests/test_store_following.py
+++ b/hillfield/emulator/tests/test_store_following.py
@@ -9,15 +9,10 @@
 
 from hillfield.emulator.store_faults import Outage, StoreFaults
 from hillfield.emulator.store_memory import MemoryStore
-from hillfield.store import (
-    Change,
-    Follower,
-    FollowSettings,
-    RetrySettings,
-    Snapshot,
-    StoredValue,
-    StoreError,
-)
+from hillfield.store.following import FollowSettings, Follower
+from hillfield.store.paging import Snapshot
+from hillfield.store.ports import Change, StoreError, StoredValue
+from hillfield.store.retries import RetrySettings
 
 SETTINGS = FollowSettings(
     turn=0.2,
--- a/hillfield/emulator/tests/test_store_gateway.py
+++ b/hillfield/emulator/tests/test_store_gateway.py
@@ -17,7 +17,9 @@
 from hillfield.emulator.store_server import StoreServer
 from hillfield.events import EventCode, ListJournal
 from hillfield.model import Address
-from hillfield.store import Change, GatewayStore, StoreSettings
+from hillfield.store.gateway import GatewayStore
+from hillfield.store.ports import Change
+from hillfield.store.store_settings import StoreSettings
 from hillfield.store.line_feed import LineFeed, wait_for_line
 
 SWAP = (Change('/a', 0, b'x'),)
--- a/hillfield/emulator/tests/test_store_leases.py
+++ b/hillfield/emulator/tests/test_store_leases.py
@@ -7,7 +7,9 @@
 from hillfield.emulator.store_faults import Outage, StoreFaults
 from hillfield.emulator.store_memory import MemoryStore
 from hillfield.events import EventCode, ListJournal
-from hillfield.store import Change, LeaseKeeper, LeaseSettings
+from hillfield.store.lease_clock import LeaseSettings
+from hillfield.store.leases import LeaseKeeper
+from hillfield.store.ports import Change
 
 
 class Clock:
--- a/hillfield/experiments/gray/ground.py
+++ b/hillfield/experiments/gray/ground.py
@@ -11,7 +11,7 @@
 
 from msgspec.structs import replace
 
-from hillfield.configuration import (
+from hillfield.configuration.public import (
     ClientAccount,
     Configuration,
     Idempotency,
--- a/hillfield/experiments/overload/baseline.py
+++ b/hillfield/experiments/overload/baseline.py
@@ -11,9 +11,10 @@
 
 import uvloop
 
-from hillfield.detection import BaselineBoard
-from hillfield.node.daemon import serve
-from hillfield.routing import BaselineDispatcher, DispatcherTable
+from hillfield.detection.baseline import BaselineBoard
+from hillfield.node.direct import serve
+from hillfield.routing import DispatcherTable
+from hillfield.routing.baseline import BaselineDispatcher
 from hillfield.settings import read_settings
 
 
--- a/hillfield/experiments/overload/targets.py
+++ b/hillfield/experiments/overload/targets.py
@@ -2,14 +2,13 @@
 
 from typing import Final
 
-from hillfield.configuration import (
-    ClientAccount,
-    Configuration,
+from hillfield.configuration.documents.files import Configuration
+from hillfield.configuration.schema.accounts import ClientAccount, ServiceUse
+from hillfield.configuration.schema.credentials import hash_secret
+from hillfield.configuration.schema.templates import (
     Idempotency,
     RouteRule,
-    ServiceUse,
     Template,
-    hash_secret,
 )
 from hillfield.demo.layout import HostPlan
 from hillfield.emulator import EmulatedTarget, ServiceTime, TargetSettings
--- a/hillfield/experiments/repair/ground.py
+++ b/hillfield/experiments/repair/ground.py
@@ -6,7 +6,8 @@
 
 from msgspec.structs import replace
 
-from hillfield.configuration import ClientAccount, Configuration
+from hillfield.configuration.documents.files import Configuration
+from hillfield.configuration.schema.accounts import ClientAccount
 from hillfield.configuration.editing import Applied, Authorship, Editor
 from hillfield.demo.fleet import LocalFleet, PlacedTarget
 from hillfield.demo.layout import (
@@ -22,7 +23,8 @@
 from hillfield.events import ListJournal
 from hillfield.experiments.repair.signalled import Signalled
 from hillfield.model import Locality
-from hillfield.store import StoreSettings, open_store
+from hillfield.store.opening import open_store
+from hillfield.store.store_settings import StoreSettings
 
 HOSTS: Final = 8
 DOMAINS: Final = 4
--- a/hillfield/experiments/repair/switchable.py
+++ b/hillfield/experiments/repair/switchable.py
@@ -13,7 +13,7 @@
 
 from hillfield.link import LinkFaults
 from hillfield.model import Address, parse_address
-from hillfield.node import Node
+from hillfield.node.direct import DirectNode
 from hillfield.settings import NodeSettings, read_settings
 
 
@@ -27,7 +27,7 @@
 
 async def _serve(settings: NodeSettings, far: tuple[Address, ...]) -> None:
     # Clients of the node belong to the loop that runs when it is built.
-    node = Node(settings)
+    node = DirectNode(settings)
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, ended.set)
--- a/hillfield/experiments/sizing/filling.py
+++ b/hillfield/experiments/sizing/filling.py
@@ -11,7 +11,7 @@
 from hillfield.emulator.heartbeat import Announcement, Heartbeat
 from hillfield.experiments.sizing.rigs import Rig
 from hillfield.model import Address, TargetState
-from hillfield.store import Accepted, Change
+from hillfield.store.ports import Accepted, Change
 
 SERVICES: Final = 260
 FIRST_PORT: Final = 2000
--- a/hillfield/experiments/sizing/occasions.py
+++ b/hillfield/experiments/sizing/occasions.py
@@ -9,7 +9,7 @@
 from hillfield.emulator.store_calls import CallTotal
 from hillfield.emulator.store_control import Measurement
 from hillfield.experiments.sizing.rigs import OPERATOR
-from hillfield.store import CallKind
+from hillfield.store.counters import CallKind
 
 WRITES: Final = frozenset(
     (CallKind.SWAP, CallKind.GRANT, CallKind.RENEW, CallKind.REVOKE),
--- a/hillfield/experiments/sizing/rigs.py
+++ b/hillfield/experiments/sizing/rigs.py
@@ -27,7 +27,9 @@
 from hillfield.emulator.store_control import Measurement
 from hillfield.experiments.processes import Processes, Program
 from hillfield.model import Locality
-from hillfield.store import OpenStore, StoreSettings, open_store
+from hillfield.store.opening import open_store
+from hillfield.store.ports import OpenStore
+from hillfield.store.store_settings import StoreSettings
 
 DOMAINS: Final = 8
 REGIONS: Final = 2
--- a/hillfield/experiments/sizing/tests/test_occasions.py
+++ b/hillfield/experiments/sizing/tests/test_occasions.py
@@ -3,7 +3,7 @@
 from hillfield.emulator.store_calls import CallTotal
 from hillfield.emulator.store_control import Measurement
 from hillfield.experiments.sizing.occasions import sum_up
-from hillfield.store import CallKind
+from hillfield.store.counters import CallKind
 
 
 def test_only_new_calls_of_nodes_count_by_second():
--- a/hillfield/fleet/feeding.py
+++ b/hillfield/fleet/feeding.py
@@ -3,7 +3,8 @@
 from hillfield.configuration.entries import Entry
 from hillfield.events import EventCode
 from hillfield.fleet.state import FleetState
-from hillfield.store import Snapshot, StoredValue
+from hillfield.store.paging import Snapshot
+from hillfield.store.ports import StoredValue
 
 
 def feed_value(state: FleetState, stored: StoredValue) -> bool:
--- a/hillfield/fleet/feeds.py
+++ b/hillfield/fleet/feeds.py
@@ -10,17 +10,9 @@
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.feeding import feed_snapshot, feed_value
 from hillfield.fleet.service import Fleet
-from hillfield.store import (
-    Followed,
-    Follower,
-    FollowSettings,
-    Snapshot,
-    Span,
-    Store,
-    StoredValue,
-    StoreError,
-    read_span,
-)
+from hillfield.store.following import FollowSettings, Followed, Follower
+from hillfield.store.paging import Snapshot, Span, read_span
+from hillfield.store.ports import Store, StoreError, StoredValue
 
 REPORT_AGAIN: Final = 10.0
 # The least part of the time between two checks, so that followers spread.
--- a/hillfield/fleet/introductions.py
+++ b/hillfield/fleet/introductions.py
@@ -10,15 +10,8 @@
 from hillfield.fleet.registrations import Registration, read_registrations
 from hillfield.fleet.service import Fleet
 from hillfield.fleet.slots import SLOTS, prefix_of, rank_of
-from hillfield.store import (
-    Accepted,
-    Change,
-    Conflict,
-    Span,
-    Store,
-    StoredValue,
-    read_span,
-)
+from hillfield.store.paging import Span, read_span
+from hillfield.store.ports import Accepted, Change, Conflict, Store, StoredValue
 
 # Peers that a node tries first: in its own failure domain, and for a holder
 # of a slot in each other one. With two there, 31 nodes that start together
--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -19,7 +19,7 @@
 from hillfield.fleet.service import Fleet
 from hillfield.fleet.introductions import Introductions
 from hillfield.fleet.slots import find_open_slot, rank_of
-from hillfield.store import Store
+from hillfield.store.ports import Store
 from hillfield.store.retries import Circuit, RetrySettings
 from hillfield.timers import find_timer
 
--- a/hillfield/fleet/registrations.py
+++ b/hillfield/fleet/registrations.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from hillfield.model import Address, parse_address
-from hillfield.store import StoredValue
+from hillfield.store.ports import StoredValue
 
 
 class Registration(Struct, frozen=True):
--- a/hillfield/fleet/relay.py
+++ b/hillfield/fleet/relay.py
@@ -16,13 +16,9 @@
     prefixes_of,
 )
 from hillfield.model import parse_address
-from hillfield.store import (
-    Accepted,
-    Change,
-    LeaseKeeper,
-    LeaseSettings,
-    Store,
-)
+from hillfield.store.lease_clock import LeaseSettings
+from hillfield.store.leases import LeaseKeeper
+from hillfield.store.ports import Accepted, Change, Store
 
 LOOK_AGAIN: Final = 0.5
 SEEK_AGAIN: Final = 2.0
--- a/hillfield/fleet/tests/test_introductions.py
+++ b/hillfield/fleet/tests/test_introductions.py
@@ -10,7 +10,13 @@
 
 from hillfield.fleet.introductions import Introductions
 from hillfield.model import Address, Locality
-from hillfield.store import Accepted, Conflict, Page, StoredValue, StoreError
+from hillfield.store.ports import (
+    Accepted,
+    Conflict,
+    Page,
+    StoreError,
+    StoredValue,
+)
 
 DOMAIN = 'a'
 OWN = 'n0'
--- a/hillfield/fleet/tests/test_relay.py
+++ b/hillfield/fleet/tests/test_relay.py
@@ -12,7 +12,8 @@
 from hillfield.fleet.slots import find_open_slot
 from hillfield.fleet.state import FleetState
 from hillfield.model import Address, Locality
-from hillfield.store import Change, Snapshot, StoredValue
+from hillfield.store.paging import Snapshot
+from hillfield.store.ports import Change, StoredValue
 
 ANY_PORT = Address('127.0.0.1', 0)
 KEY = '/hillfield/north/templates/claims'
--- a/hillfield/gate/tests/test_seating.py
+++ b/hillfield/gate/tests/test_seating.py
@@ -118,7 +118,8 @@
 
 def test_a_farewell_without_a_heartbeat_binds_those_born_before(seating):
     seating.withdraw(1, 'i-1', WALL)
-    assert seating.announce(1.1, WALL, 'i-1', 2, born(WALL - 1)).is_error()
+    earlier = born(WALL - 1)
+    assert seating.announce(1.1, WALL, 'i-1', 2, earlier).is_error()
     seating.announce(1.2, WALL, 'i-1', 1, born(WALL + 1))
     assert seating.gate.seat is not None
 
--- a/hillfield/hostroutes/tests/test_planner.py
+++ b/hillfield/hostroutes/tests/test_planner.py
@@ -8,7 +8,8 @@
 from msgspec.structs import replace
 from pytest import fixture
 
-from hillfield.configuration import Entry, hash_secret
+from hillfield.configuration.entries import Entry
+from hillfield.configuration.schema.credentials import hash_secret
 from hillfield.configuration.schema.accounts import FleetAccount
 from hillfield.events import EventCode, ListJournal
 from hillfield.hostroutes import (
--- a/hillfield/node/counting.py
+++ b/hillfield/node/counting.py
@@ -6,7 +6,7 @@
 from hillfield.fleet import Fleet
 from hillfield.link.layer import LinkCounts
 from hillfield.node.parts import Parts
-from hillfield.store import CallKind
+from hillfield.store.counters import CallKind
 
 DONE: Final = 'ok'
 FAILED: Final = 'failed'
--- a/hillfield/node/daemon.py
+++ b/hillfield/node/daemon.py
@@ -7,13 +7,6 @@
 import uvloop
 
 from hillfield.node.node import Node, NodeError
-from hillfield.routing import DispatcherTable
-from hillfield.settings import NodeSettings
-
-
-def run_node(settings: NodeSettings) -> NodeError | None:
-    """Run a node until SIGTERM or SIGINT; return why it could not start."""
-    return run_made(lambda: Node(settings))
 
 
 def run_made(make: Callable[[], Node]) -> NodeError | None:
@@ -22,17 +15,6 @@
         return runner.run(_make_and_serve(make))
 
 
-async def serve(
-    settings: NodeSettings,
-    table: DispatcherTable | None = None,
-) -> NodeError | None:
-    """Serve a node of these settings.
-
-    Only measurements pass a `table`, to compare other decisions.
-    """
-    return await serve_node(Node(settings, table))
-
-
 async def serve_node(node: Node) -> NodeError | None:
     """Start, wait for a signal, and leave without cutting anything off."""
     ended = asyncio.Event()
--- a/hillfield/node/explaining.py
+++ b/hillfield/node/explaining.py
@@ -1,7 +1,7 @@
 """Explanations of a service as operators read them."""
 
 from hillfield.control import ServicePage, TargetReport
-from hillfield.detection import TargetExplanation
+from hillfield.detection.explanations import TargetExplanation
 from hillfield.model import ServicePolicy, Target, TargetState
 from hillfield.routing import LoadExplanation, RoutingExplanation
 
--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -21,7 +21,7 @@
 from hillfield.proxy import ProxyServer, ProxySettings, RequestMeter
 from hillfield.routing import DispatcherTable
 from hillfield.settings import NodeSettings
-from hillfield.store import OpenStore
+from hillfield.store.ports import OpenStore
 
 
 class Listening(Protocol):
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -75,7 +75,7 @@
         self.gate = Gate(recording.journal)
         meter = CallMeter(recording.metrics, self.gate.calls)
         parts = make_gated_parts(settings, recording, fittings, meter)
-        super().__init__(settings, parts=parts)
+        super().__init__(settings, parts)
         self.seating = Seating(parts.registry, self.gate)
         self._fittings = fittings
         self._hops = ProxyServer(
--- a/hillfield/node/node.py
+++ b/hillfield/node/node.py
@@ -13,13 +13,10 @@
 from hillfield.fleet import Fleet, FleetListeners, FleetSettings
 from hillfield.model import Address
 from hillfield.node.page import NodePage
-from hillfield.node.parts import Parts, make_parts
-from hillfield.node.probing import Prober
+from hillfield.node.parts import Parts
 from hillfield.node.reading import NodeGauges
-from hillfield.node.relaying import make_relay
 from hillfield.node.ticking import TICK, Ticker
 from hillfield.proxy import freeze_startup_memory
-from hillfield.routing import DispatcherTable
 from hillfield.settings import NodeSettings
 from hillfield.timers import Appointment, find_timer
 
@@ -44,15 +41,10 @@
     def __init__(
         self,
         settings: NodeSettings,
-        table: DispatcherTable | None = None,
-        parts: Parts | None = None,
+        parts: Parts,
     ) -> None:
-        """Build the parts; nothing is opened before `start`.
-
-        Only measurements pass a `table`, to compare other decisions; a node
-        of another kind brings its own `parts`.
-        """
-        self.parts: Parts = parts or make_parts(settings, table)
+        """Take the parts; nothing is opened before `start`."""
+        self.parts = parts
         self.page = NodePage(self.parts)
         ports = ControlPorts(
             registry=self.parts.registry,
@@ -176,6 +168,5 @@
         self,
         fleet: Fleet,
     ) -> tuple[Coroutine[None, None, None], ...]:
-        relaying = make_relay(self.parts, fleet).run()
-        probing = Prober(self.parts).run()
-        return relaying, probing
+        """Return what runs beside the ticks until the node stops."""
+        raise NotImplementedError
--- a/hillfield/node/page.py
+++ b/hillfield/node/page.py
@@ -3,7 +3,7 @@
 from time import monotonic, time
 from typing import Final
 
-from hillfield.configuration import Entry
+from hillfield.configuration.entries import Entry
 from hillfield.control import (
     ConfigurationPage,
     MemberPage,
--- a/hillfield/node/parts.py
+++ b/hillfield/node/parts.py
@@ -1,13 +1,11 @@
 """The parts that one node is made of."""
 
-from random import Random
 from typing import Final, Protocol
 
 from msgspec import Struct
 
 from hillfield.announcements import TargetRegistry
-from hillfield.configuration import ConfigurationView, Digest, Replica
-from hillfield.detection import HealthBoard
+from hillfield.configuration.serving.digests import Digest
 from hillfield.events import Timeline
 from hillfield.fleet import EntryStore
 from hillfield.metrics import NodeMetrics
@@ -16,7 +14,8 @@
 from hillfield.proxy import PlanSource, ProxyServer, ProxySettings
 from hillfield.routing import DispatcherTable
 from hillfield.settings import NodeSettings
-from hillfield.store import OpenStore, StoreSettings, open_store
+from hillfield.store.ports import OpenStore
+from hillfield.store.store_settings import StoreSettings
 
 PART_SIZE: Final = 65536
 
@@ -62,43 +61,6 @@
     store: OpenStore
 
 
-def make_parts(
-    settings: NodeSettings,
-    table: DispatcherTable | None = None,
-) -> Parts:
-    """Build all parts; nothing is opened yet.
-
-    Only measurements pass a `table`, to compare other decisions.
-    """
-    recording = open_recording(settings)
-    journal = recording.journal
-    replica = Replica(settings.cluster, journal)
-    configuration = ConfigurationView(replica, journal)
-    if table is None:
-        table = DispatcherTable(settings.locality, HealthBoard, Random())
-    desk = ServiceDesk(table, configuration)
-    proxy = ProxyServer(
-        make_proxy_settings(settings),
-        configuration,
-        desk,
-        journal,
-        recording.metrics,
-    )
-    return Parts(
-        settings=settings,
-        timeline=recording.timeline,
-        metrics=recording.metrics,
-        journal=journal,
-        registry=TargetRegistry(settings, journal),
-        replica=replica,
-        configuration=configuration,
-        table=table,
-        desk=desk,
-        proxy=proxy,
-        store=open_store(make_store_settings(settings), journal),
-    )
-
-
 def open_recording(settings: NodeSettings) -> Recording:
     """Open the time line and the metrics of a node."""
     timeline = Timeline(settings)
--- a/hillfield/node/probing.py
+++ b/hillfield/node/probing.py
@@ -9,7 +9,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
-from hillfield.detection import TargetExplanation
+from hillfield.detection.explanations import TargetExplanation
 from hillfield.model import Address, TargetId
 from hillfield.node.parts import Parts
 
--- a/hillfield/node/sharing.py
+++ b/hillfield/node/sharing.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 from xxhash import xxh64_intdigest
 
-from hillfield.detection import Evidence
+from hillfield.detection.evidence import Evidence
 from hillfield.detection.indicators import Indicator
 from hillfield.detection.reports import find_indicator
 from hillfield.fleet import NodeEvidence
--- a/hillfield/node/tests/test_node.py
+++ b/hillfield/node/tests/test_node.py
@@ -3,7 +3,7 @@
 import asyncio
 from pathlib import Path
 
-from hillfield.node import Node
+from hillfield.node.direct import DirectNode
 from hillfield.settings import parse_settings
 
 SETTINGS = """
@@ -24,7 +24,7 @@
 
 def make_node(callers='127.0.0.1:0'):
     """Return a node that listens on free ports."""
-    return Node(parse_settings(SETTINGS.format(callers), Path()).ok)
+    return DirectNode(parse_settings(SETTINGS.format(callers), Path()).ok)
 
 
 def test_starts_alone_and_says_what_it_waits_for():
--- a/hillfield/node/tests/test_probing.py
+++ b/hillfield/node/tests/test_probing.py
@@ -1,6 +1,7 @@
 """Test whom probes go to."""
 
-from hillfield.detection import Symptom, TargetExplanation
+from hillfield.detection.evidence import Symptom
+from hillfield.detection.explanations import TargetExplanation
 from hillfield.model import Address, TargetId
 from hillfield.node.probing import ProbeOrder
 
--- a/hillfield/node/tests/test_repair.py
+++ b/hillfield/node/tests/test_repair.py
@@ -10,7 +10,7 @@
 
 from msgspec.structs import replace
 
-from hillfield.configuration import (
+from hillfield.configuration.public import (
     ClientAccount,
     Configuration,
     Idempotency,
@@ -40,9 +40,10 @@
 from hillfield.emulator.store_server import StoreServer
 from hillfield.events import ListJournal
 from hillfield.model import TargetState
-from hillfield.node import Node
+from hillfield.node.direct import DirectNode
 from hillfield.settings import parse_settings
-from hillfield.store import StoreSettings, open_store
+from hillfield.store.opening import open_store
+from hillfield.store.store_settings import StoreSettings
 
 SERVICE = 'settlement'
 SECRET = 'of-a-test-only'
@@ -97,7 +98,7 @@
         text = f'{render_settings(self.layout, host)}\n{QUICK}'
         if not with_store:
             text = text.replace(str(self.layout.store), '127.0.0.1:1')
-        self.nodes[number] = Node(parse_settings(text, Path()).ok)
+        self.nodes[number] = DirectNode(parse_settings(text, Path()).ok)
         assert (await self.nodes[number].start()).is_ok()
 
     async def until_ready(self, *numbers):
--- a/hillfield/node/tests/test_sharing.py
+++ b/hillfield/node/tests/test_sharing.py
@@ -2,7 +2,7 @@
 
 from msgspec.structs import replace
 
-from hillfield.detection import Evidence, Symptom
+from hillfield.detection.evidence import Evidence, Symptom
 from hillfield.fleet import NodeEvidence
 from hillfield.model import Address, TargetId
 from hillfield.node.sharing import TELLERS_PER_DOMAIN, EvidenceGate
--- a/hillfield/platform/items.py
+++ b/hillfield/platform/items.py
@@ -3,7 +3,7 @@
 from msgspec import Struct, field
 from msgspec.json import encode
 
-from hillfield.store import Accepted, Change, Conflict, Page, StoredValue
+from hillfield.store.ports import Accepted, Change, Conflict, Page, StoredValue
 
 
 class StoredItem(Struct, frozen=True):
--- a/hillfield/platform/store.py
+++ b/hillfield/platform/store.py
@@ -18,17 +18,16 @@
     StoredItem,
     write_swap,
 )
-from hillfield.store import (
+from hillfield.store.counters import CallCounts, CallKind
+from hillfield.store.ports import (
     Accepted,
-    CallCounts,
-    CallKind,
     Change,
     Conflict,
     Page,
-    StoredValue,
     StoreError,
-    StoreSettings,
+    StoredValue,
 )
+from hillfield.store.store_settings import StoreSettings
 from hillfield.store.httpcalls import Call, Caller
 
 # Seconds that a watch waits for an event: each counts as a call. What one
--- a/hillfield/platform/tests/test_keys.py
+++ b/hillfield/platform/tests/test_keys.py
@@ -7,7 +7,7 @@
 from msgspec.json import decode, encode
 from pytest import mark
 
-from hillfield.configuration import hash_secret
+from hillfield.configuration.schema.credentials import hash_secret
 from hillfield.platform.routes import read_routes
 from hillfield.platform.tests.installation import (
     RULES,
--- a/hillfield/proxy/measurement/node.py
+++ b/hillfield/proxy/measurement/node.py
@@ -6,7 +6,7 @@
 from expression import Ok, Result
 from tornado.ioloop import PeriodicCallback
 
-from hillfield.detection import HealthBoard
+from hillfield.detection.board import HealthBoard
 from hillfield.events import ListJournal
 from hillfield.model import (
     Address,
--- a/hillfield/quotas/tests/fleet.py
+++ b/hillfield/quotas/tests/fleet.py
@@ -92,10 +92,10 @@
 
     def _draw(self, mean):
         """Draw how many requests come: close to chance where few do."""
-        parts = 8 if mean < 1 else 1
-        whole, rest = divmod(mean / parts, 1)
-        hits = sum(self.random.random() < rest for _ in range(parts))
-        return int(whole) * parts + hits
+        if mean > 1:
+            return int(mean + self.random.random())
+        chance = mean / 8
+        return sum(self.random.random() < chance for _ in range(8))
 
     def _ask(self, node, name):
         self.asked[name] += 1
--- a/hillfield/routing/__init__.py
+++ b/hillfield/routing/__init__.py
@@ -1,12 +1,10 @@
 """Routing of requests to targets: observations in, verdicts out."""
 
-from hillfield.routing.baseline import BaselineDispatcher
 from hillfield.routing.dispatcher import Dispatcher
 from hillfield.routing.explanations import LoadExplanation, RoutingExplanation
 from hillfield.routing.table import DispatcherTable
 
 __all__ = (
-    'BaselineDispatcher',
     'Dispatcher',
     'DispatcherTable',
     'LoadExplanation',
--- a/hillfield/routing/measurement.py
+++ b/hillfield/routing/measurement.py
@@ -11,7 +11,8 @@
 
 from msgspec.structs import replace
 
-from hillfield.detection import BaselineBoard, HealthBoard
+from hillfield.detection.baseline import BaselineBoard
+from hillfield.detection.board import HealthBoard
 from hillfield.model import RequestPlan, ServicePolicy
 from hillfield.routing.admission import admit, serve_queue
 from hillfield.routing.baseline import BaselineDispatcher
--- a/hillfield/routing/tests/test_dispatcher.py
+++ b/hillfield/routing/tests/test_dispatcher.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 from pytest import fixture, mark
 
-from hillfield.detection import HealthBoard
+from hillfield.detection.board import HealthBoard
 from hillfield.model import (
     Address,
     Locality,
--- a/hillfield/routing/tests/test_fuzz.py
+++ b/hillfield/routing/tests/test_fuzz.py
@@ -23,7 +23,9 @@
 from msgspec.structs import replace
 from pytest import mark, raises
 
-from hillfield.detection import Evidence, HealthBoard, Rotation, Symptom
+from hillfield.detection.board import HealthBoard
+from hillfield.detection.evidence import Evidence, Symptom
+from hillfield.detection.rotation import Rotation
 from hillfield.model import (
     Address,
     Locality,
--- a/hillfield/routing/tests/test_table.py
+++ b/hillfield/routing/tests/test_table.py
@@ -6,12 +6,9 @@
 from msgspec.structs import replace
 from pytest import mark
 
-from hillfield.detection import (
-    BaselineBoard,
-    Evidence,
-    HealthBoard,
-    Symptom,
-)
+from hillfield.detection.baseline import BaselineBoard
+from hillfield.detection.board import HealthBoard
+from hillfield.detection.evidence import Evidence, Symptom
 from hillfield.model import (
     Address,
     Locality,
@@ -21,8 +18,8 @@
     Target,
     TargetId,
 )
+from hillfield.routing.baseline import BaselineDispatcher
 from hillfield.routing import (
-    BaselineDispatcher,
     Dispatcher,
     DispatcherTable,
 )
--- a/hillfield/store/httpcalls.py
+++ b/hillfield/store/httpcalls.py
@@ -10,7 +10,9 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from hillfield.events import Journal
-from hillfield.store import CallCounts, CallKind, StoreError, StoreSettings
+from hillfield.store.counters import CallCounts, CallKind
+from hillfield.store.ports import StoreError
+from hillfield.store.store_settings import StoreSettings
 from hillfield.store.clients import RenewedClient
 from hillfield.store.reports import Reports
 
--- a/hillfield/store/ports.py
+++ b/hillfield/store/ports.py
@@ -6,6 +6,8 @@
 from expression import Result
 from msgspec import Struct
 
+from hillfield.store.counters import CallCounts
+
 
 class StoredValue(Struct, frozen=True):
     """Hold a value; `revision` is the store's revision of its last write."""
@@ -102,3 +104,14 @@
         since: int,
     ) -> AsyncIterator[Result[StoredValue, StoreError]]:
         """Yield changes after revision `since`; ends after an error."""
+
+
+class OpenStore(Store, Protocol):
+    """Be a store that was opened: it counts its calls and can be closed."""
+
+    @property
+    def counts(self) -> CallCounts:
+        """Return the running totals of calls."""
+
+    def close(self) -> None:
+        """Close all connections; cancel whoever waits for a call first."""
--- a/hillfield/store/tests/test_line_feed.py
+++ b/hillfield/store/tests/test_line_feed.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hillfield.store import StoreSettings
+from hillfield.store.store_settings import StoreSettings
 from hillfield.store.line_feed import LineFeed
 
 TEXT = b'one\n\nthree\nfo'
--- a/hillfield/store/tests/test_paging.py
+++ b/hillfield/store/tests/test_paging.py
@@ -5,7 +5,8 @@
 from expression import Ok
 
 from hillfield.emulator.store_memory import MemoryStore
-from hillfield.store import Change, Page, Span, read_span
+from hillfield.store.paging import Span, read_span
+from hillfield.store.ports import Change, Page
 
 KEYS = tuple(f'/a/{number}' for number in range(6))
 
--- a/hillfield/store/tests/test_wire.py
+++ b/hillfield/store/tests/test_wire.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from hillfield.store import Change, StoredValue
+from hillfield.store.ports import Change, StoredValue
 from hillfield.store.gateway_messages import (
     build_range,
     build_swap,
--- a/scenarios/fleet.py
+++ b/scenarios/fleet.py
@@ -7,10 +7,10 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from hillfield.configuration import Configuration
-from hillfield.configuration.editing import (
+from hillfield.configuration.public import (
     Applied,
     Authorship,
+    Configuration,
     EditFailure,
     Editor,
 )
@@ -35,7 +35,8 @@
 from hillfield.events import ListJournal
 from hillfield.fleet.slots import prefix_of
 from hillfield.model import Address
-from hillfield.store import GatewayStore, StoreSettings
+from hillfield.store.gateway import GatewayStore
+from hillfield.store import StoreSettings
 from hillfield.store.keys import find_prefix_end
 from scenarios.hosting import Apart, InLoop
 
--- a/scenarios/hosting.py
+++ b/scenarios/hosting.py
@@ -9,7 +9,8 @@
 from hillfield.demo.waiting import wait_until
 from hillfield.experiments.processes import Program
 from hillfield.experiments.repair.signalled import Signalled
-from hillfield.node import Node
+from hillfield.node.direct import DirectNode
+from hillfield.node.node import Node
 from hillfield.settings import parse_settings
 
 END_SECONDS = 40
@@ -40,7 +41,7 @@
 
     async def start(self, host: HostPlan, text: str) -> None:
         """Start a node by its settings in TOML."""
-        node = Node(parse_settings(text, Path()).ok)
+        node = DirectNode(parse_settings(text, Path()).ok)
         started = await node.start()
         assert started.is_ok(), started
         self._nodes[host.name] = node
--- a/scenarios/templates.py
+++ b/scenarios/templates.py
@@ -3,14 +3,13 @@
 import hashlib
 from types import MappingProxyType
 
-from hillfield.configuration import (
+from hillfield.configuration.documents.files import Configuration
+from hillfield.configuration.schema.accounts import ClientAccount, ServiceUse
+from hillfield.configuration.schema.templates import (
     AccountParameters,
     Bounds,
-    ClientAccount,
-    Configuration,
     Idempotency,
     RouteRule,
-    ServiceUse,
     Template,
 )
 from hillfield.emulator import CallKind
