Let an emulated target begin what has reached it before it closes

The node was right to tell its caller unknown, and the check right to want it begun. A target reads and begins now what has come before it cuts it.

The new test, with bytes that lie unread at close and at refuse, failed before.

--- a/hillfield/emulator/listener.py
+++ b/hillfield/emulator/listener.py
@@ -1,6 +1,6 @@
 """The listening side of an emulated target."""
 
-from asyncio import CancelledError, Task, create_task, current_task
+from asyncio import CancelledError, Task, create_task, current_task, sleep
 from collections.abc import Awaitable, Callable
 from socket import AF_INET, AF_INET6, SO_REUSEADDR, SOL_SOCKET, socket
 from typing import Any, Final
@@ -12,6 +12,8 @@
 from hillfield.model import Address
 
 BACKLOG: Final = 512
+# From bytes that lie unread to a request that has begun: some turns of the loop.
+SECONDS_TO_BEGIN: Final = 0.005
 
 Serve = Callable[[HTTPServerRequest], Awaitable[None]]
 
@@ -67,6 +69,9 @@
             return
         self._server = None
         server.stop()
+        # Requests whose bytes have come begin: their callers are told that
+        # they may have run.
+        await sleep(SECONDS_TO_BEGIN)
         for task, request in tuple(self._serving.items()):
             # The request that asked for closing goes on to its end.
             if task is not current_task():
--- a/hillfield/emulator/tests/test_target.py
+++ b/hillfield/emulator/tests/test_target.py
@@ -156,3 +156,31 @@
     status, body = asyncio.run(send_bad_behaviour())
     assert status == 400
     assert b'slwo' in body
+
+
+async def send_as_it_closes(refuse: bool) -> tuple[Run, ...]:
+    """Send a request whose bytes lie unread as the target closes."""
+    target = EmulatedTarget(replace(FAST, timing=ServiceTime(1, 0)))
+    await target.start()
+    listener = target.listener
+    reader, writer = await asyncio.open_connection(
+        target.address.ip,
+        target.address.port,
+    )
+    # Accepted, so that closing cuts it.
+    await asyncio.sleep(0.05)
+    writer.write(
+        b'POST /captures HTTP/1.1\r\nHost: till\r\nX-Request-Id: a\r\n'
+        b'Content-Length: 1\r\n\r\nx',
+    )
+    await (listener.refuse() if refuse else listener.close())
+    await asyncio.gather(reader.read(), return_exceptions=True)
+    await target.stop()
+    return target.record().runs
+
+
+@pytest.mark.parametrize('refuse', [False, True])
+def test_what_came_before_it_closed_counts_as_begun(refuse: bool) -> None:
+    """Its caller can't know whether it ran, so it is told so."""
+    runs = asyncio.run(send_as_it_closes(refuse))
+    assert [run.request for run in runs] == ['a']
