Revert "Begin reads that came behind another before it is answered"

The hypothesis that the late reads wait for each other on their connection is not borne out: what delays them is to be looked for elsewhere.

--- a/hillfield/proxy/callers.py
+++ b/hillfield/proxy/callers.py
@@ -11,7 +11,6 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from hillfield.model import RequestFailure
-from hillfield.proxy.ahead import SAFE, LookAhead, TurnedRequest
 from hillfield.proxy.answers import render_whole
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.failures import Fault, describe_stray
@@ -34,10 +33,7 @@
             max_header_size=context.settings.head_limit,
             max_body_size=_LARGEST_BODY,
         )
-        self._incoming: IncomingRequest | TurnedRequest | None = None
-        self._ahead = LookAhead(context)
-        self._looking = False
-        self.stream.heard = self._look_soon
+        self._incoming: IncomingRequest | None = None
         self._waiting_since = float()
         self._received_before = 0
         self._head_since: float | None = None
@@ -53,7 +49,6 @@
         except Exception as error:
             self._context.record_failure(describe_stray(error))
         finally:
-            self._ahead.drop()
             self.stream.abandon()
 
     async def refuse_connection(self) -> None:
@@ -77,7 +72,7 @@
 
     def close_after_answer(self) -> None:
         """Let the present request be the last one."""
-        if self._incoming is not None and self._ahead.is_empty():
+        if self._incoming is not None:
             self._incoming.reply.closing = True
 
     def is_idle(self) -> bool:
@@ -107,29 +102,6 @@
         elif now - self._head_since > settings.head_timeout:
             stream.refuse(Fault.SLOW_REQUEST.failure('the head did not come'))
 
-    def _look_soon(self) -> None:
-        """Look at what has come behind a request, once it can be seen."""
-        if self._looking or self.stream.reading_head:
-            return
-        if self._context.settings.ahead_limit:
-            self._looking = True
-            get_running_loop().call_soon(self._look_ahead)
-
-    def _look_ahead(self) -> None:
-        """Begin the reads that have come behind the present one."""
-        self._looking = False
-        stream = self.stream
-        incoming = self._incoming
-        if incoming is None or stream.reading_head or not stream.unread:
-            return
-        if stream.closed() or stream.lingering or stream.writing():
-            return
-        reply = incoming.reply
-        waits = reply.request_read and not reply.closing
-        is_read = reply.method in SAFE and incoming.may_run_again
-        if waits and is_read and not self._context.draining:
-            self._ahead.look(reply)
-
     def _sweep_writing(self, now: float) -> None:
         """End a connection whose caller has long stopped reading."""
         stream = self.stream
@@ -139,14 +111,6 @@
         elif now - self._writing_since > self._context.settings.idle_timeout:
             stream.reset()
 
-    def _make_incoming(self, reply: Reply) -> IncomingRequest | TurnedRequest:
-        """Return who reads the next request."""
-        begun = self._ahead.take()
-        if begun is None:
-            return IncomingRequest(self._context, reply)
-        self.stream.next_head = begun.head
-        return TurnedRequest(begun, reply, self._context, self._ahead.is_empty)
-
     async def _serve(self) -> None:
         serving = True
         while serving:
@@ -162,7 +126,7 @@
             )
             dialect = self._context.settings.callers
             reply = Reply(connection, self.stream, dialect)
-            self._incoming = self._make_incoming(reply)
+            self._incoming = IncomingRequest(self._context, reply)
             self._waiting_since = get_running_loop().time()
             self._head_since = None
             self._received_before = self.stream.received - self.stream.unread
--- a/hillfield/proxy/replies.py
+++ b/hillfield/proxy/replies.py
@@ -43,8 +43,8 @@
         self.request_read = False
         self.method = ''
         self.chunks = True
-        self.stream = stream
-        self.dialect = dialect
+        self._stream = stream
+        self._dialect = dialect
         self._chunked = False
 
     def adapt(
@@ -71,7 +71,7 @@
             failure,
             request,
             len(body),
-            fractional=self.dialect.fractional,
+            fractional=self._dialect.fractional,
         )
         self._write_whole(render_start(failure.status), fields, body)
 
@@ -107,13 +107,12 @@
 
     def send_sign(self) -> None:
         """Write an interim answer, unless the answer has begun."""
-        if not (self.begun or self.stream.closed()):
-            self.stream.write(_SIGN)
+        if not (self.begun or self._stream.closed()):
+            self._stream.write(_SIGN)
 
-    def follow_end(self, callback: Callable[[], None]) -> None:
-        """Learn of the caller's end while the answer is awaited."""
-        self.connection.set_close_callback(callback)
-        self.stream.heard()
+    def watch(self, callback: Callable[[], None]) -> None:
+        """Learn of the caller's end while its request is still read."""
+        self._stream.set_close_callback(callback)
 
     def write_part(self, part: bytes) -> 'Future[None]':
         """Relay a part; the future bounds what is buffered."""
@@ -126,13 +125,13 @@
             return
         # The connection ends here; an unread rest of the request must not
         # reset it before the caller has the answer.
-        if not self.stream.closed():
+        if not self._stream.closed():
             last = _LAST_CHUNK if self._chunked else b''
-            self.stream.linger(self.stream.write(last))
+            self._stream.linger(self._stream.write(last))
 
     def abort(self) -> None:
         """End the connection so that the answer doesn't look whole."""
-        self.stream.reset()
+        self._stream.reset()
 
     def _begin(self, fields: Fields) -> None:
         self.begun = True
@@ -146,10 +145,10 @@
         body: bytes,
     ) -> None:
         self._begin(fields)
-        if self.stream.closed():
+        if self._stream.closed():
             return
         head = fields.render(render_status(start_line))
-        self.stream.write(head if self.method == 'HEAD' else head + body)
+        self._stream.write(head if self.method == 'HEAD' else head + body)
         self.end()
 
 
--- a/hillfield/proxy/requests.py
+++ b/hillfield/proxy/requests.py
@@ -32,15 +32,11 @@
 
 
 class IncomingRequest(HTTPMessageDelegate):
-    """Read one request, and start its course once it can be sent.
-
-    `may_run_again` says that it may run twice, or does not run at all.
-    """
+    """Read one request, and start its course once it can be sent."""
 
     def __init__(self, context: ProxyContext, reply: Reply) -> None:
         """Wait for the head."""
         self.reply = reply
-        self.may_run_again = True
         self._context = context
         self._body = RequestBody(context.settings.held_body)
         self._request = ''
@@ -84,7 +80,7 @@
         """Take in the end of the request."""
         self._body.end()
         self.reply.request_read = True
-        self.reply.follow_end(self.on_connection_close)
+        self.reply.connection.set_close_callback(self.on_connection_close)
         exchange = self._exchange
         if self._refusal is not None:
             self._refuse(self._refusal)
@@ -121,7 +117,6 @@
         planned = self._plan(start_line, headers)
         if planned.is_ok():
             self._order = planned.ok
-            self.may_run_again = planned.ok.plan.idempotent
             self._exchange = Exchange(self._context, planned.ok, self.reply)
             return
         self._refusal = planned.error
@@ -179,7 +174,7 @@
         if needs_length(order):
             self._fail(Fault.LENGTH_REQUIRED, 'give a Content-Length')
             return
-        self.reply.stream.set_close_callback(self.on_connection_close)
+        self.reply.watch(self.on_connection_close)
         run_guarded(partial(exchange.start, False), self._fail_stray)
 
     def _fail(self, fault: Fault, detail: str) -> None:
--- a/hillfield/proxy/settings.py
+++ b/hillfield/proxy/settings.py
@@ -16,9 +16,7 @@
     `gate_port` is where the nodes beside the targets take requests for them
     (None: targets are reached directly). Where `sign_after` is set, a request
     that is not answered by then gets an interim answer as a sign of life;
-    where `sign_within` is set, one is expected of the other end. Of the reads
-    that came behind a request on its connection, `ahead_limit` begin before it
-    is answered.
+    where `sign_within` is set, one is expected of the other end.
     """
 
     address: Address
@@ -43,6 +41,5 @@
     gate_port: int | None = None
     sign_after: float = 0
     sign_within: float = 0
-    ahead_limit: int = 4
     callers: CallerDialect = CallerDialect()
     targets: TargetDialect = field(default_factory=OwnDialect)
--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -3,7 +3,6 @@
 import socket
 import struct
 from asyncio import Future, get_running_loop
-from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 from tornado.iostream import (
@@ -54,19 +53,6 @@
         """Tell how many bytes have come that nobody has read."""
         return self._read_buffer_size
 
-    @property
-    def buffered(self) -> bytes:
-        """Return what has come and nobody has read."""
-        return bytes(self._read_buffer[: self._read_buffer_size])
-
-    def skip(self, length: int) -> None:
-        """Drop bytes that have been looked at, and listen for more.
-
-        While bytes lie unread, tornado doesn't notice that a caller leaves.
-        """
-        self._consume(length)
-        self._maybe_add_error_listener()
-
     def reset(self) -> None:
         """Close so that the other end can't take what it has for whole."""
         if not self.closed():
@@ -105,8 +91,6 @@
         self.written = 0
         self.reading_head = False
         self.lingering = False
-        self.next_head = b''
-        self.heard: Callable[[], None] = _tell_nobody
         self._owner = owner
         self._ended = False
 
@@ -116,11 +100,6 @@
         max_bytes: int | None = None,
     ) -> bytes:
         """Return a head that is free of ambiguity."""
-        if self.next_head and not self.closed():
-            # It has begun already, and was screened by the limits of then.
-            head = self.next_head
-            self.next_head = b''
-            return head
         self.reading_head = True
         head = await super().read_until_regex(regex, max_bytes)
         self.reading_head = False
@@ -146,7 +125,6 @@
         count = super().read_from_fd(buf)
         if count:
             self.received += count
-            self.heard()
         self._ended = count == 0
         return count
 
@@ -213,7 +191,3 @@
             self.abandon()
             return
         get_running_loop().call_later(self.settings.linger, self.abandon)
-
-
-def _tell_nobody() -> None:
-    """Tell nobody: nothing is awaited."""
