Keep no loop that has ended by the timers found for it

Cause: test_requests_leave_nothing_to_collect failed in two of two whole runs and in none alone. The table of timers was weak in the loop, but each timer held its loop, so no loop that had ended was let go, nor what its pending appointments held: exchanges of an earlier test of the same process. A run of test_keys before test_server showed it each time.

A timer lives by its appointments now and is found by its loop's identity. A process with one loop, as a node is, was not affected. The new test failed before; the pair of files passes.

--- a/hillfield/timers/shared.py
+++ b/hillfield/timers/shared.py
@@ -15,7 +15,7 @@
 from heapq import heappop, heappush
 from math import ceil, floor
 from typing import Final
-from weakref import WeakKeyDictionary
+from weakref import WeakValueDictionary, ref
 
 # Seconds between two steps: the shortest pause of what ticks.
 STEP: Final = 0.1
@@ -55,13 +55,17 @@
 
     def __init__(self, loop: AbstractEventLoop) -> None:
         """Count steps from now."""
-        self._loop = loop
+        self._home = ref(loop)
         self._origin = loop.time()
         self._queue: list[tuple[int, int, Appointment]] = []
         self._count = 0
         self._armed: TimerHandle | None = None
         self._next = 0
 
+    def is_of(self, loop: AbstractEventLoop) -> bool:
+        """Tell whether it keeps the appointments of this loop."""
+        return self._home() is loop
+
     def every(self, seconds: float, work: Work) -> Appointment:
         """Do work again and again, first after that time."""
         period = max(1, round(seconds / STEP))
@@ -69,18 +73,19 @@
 
     def after(self, seconds: float, work: Work) -> Appointment:
         """Do work once, at the first step that is no sooner."""
-        due = (self._loop.time() - self._origin + seconds) / STEP
+        passed = get_running_loop().time() - self._origin
+        due = (passed + seconds) / STEP
         return self._add(ceil(due - ROUNDING), Appointment(work))
 
     async def pause(self, seconds: float) -> None:
         """Return at the first step that is no sooner."""
-        ended = self._loop.create_future()
+        ended = get_running_loop().create_future()
         self.after(seconds, partial(_end, ended))
         await ended
 
     def _now(self) -> int:
-        passed = (self._loop.time() - self._origin) / STEP
-        return floor(passed + ROUNDING)
+        passed = get_running_loop().time() - self._origin
+        return floor(passed / STEP + ROUNDING)
 
     def _add(self, step: int, appointment: Appointment) -> Appointment:
         self._count += 1
@@ -94,7 +99,7 @@
             self._armed.cancel()
         self._next = self._queue[0][0]
         due = self._origin + self._next * STEP
-        self._armed = self._loop.call_at(due, self._run)
+        self._armed = get_running_loop().call_at(due, self._run)
 
     def _run(self) -> None:
         self._armed = None
@@ -114,23 +119,23 @@
         try:
             appointment.keep()
         except Exception as error:
-            self._loop.call_exception_handler(
+            get_running_loop().call_exception_handler(
                 {'message': 'shared timer: work failed', 'exception': error},
             )
 
 
-_TIMERS: Final[WeakKeyDictionary[AbstractEventLoop, SharedTimer]] = (
-    WeakKeyDictionary()
-)
+# By the loop's identity: a timer lives as long as its appointments, and no
+# loop that has ended is kept.
+_TIMERS: Final[WeakValueDictionary[int, SharedTimer]] = WeakValueDictionary()
 
 
 def find_timer() -> SharedTimer:
     """Return the timer of the running loop."""
     loop = get_running_loop()
-    timer = _TIMERS.get(loop)
-    if timer is None:
+    timer = _TIMERS.get(id(loop))
+    if timer is None or not timer.is_of(loop):
         timer = SharedTimer(loop)
-        _TIMERS[loop] = timer
+        _TIMERS[id(loop)] = timer
     return timer
 
 
--- a/hillfield/timers/tests/test_shared.py
+++ b/hillfield/timers/tests/test_shared.py
@@ -1,7 +1,9 @@
 """One timer for all that is done at times."""
 
 import asyncio
+import gc
 from typing import Any
+from weakref import ref
 
 from pytest import approx
 
@@ -21,6 +23,13 @@
         return super().call_at(*parts, **more)
 
 
+class Kept:
+    """Be held by work that is never done."""
+
+    def work(self):
+        """Do nothing."""
+
+
 def do_nothing():
     """Do nothing."""
 
@@ -96,3 +105,21 @@
         assert paused.cancelled()
 
     run(story)
+
+
+def leave_pending():
+    """Run a loop to its end; return what its pending work holds, weakly."""
+    kept = Kept()
+
+    async def story():
+        find_timer().after(60, kept.work)
+        await asyncio.sleep(0)
+
+    asyncio.run(story())
+    return ref(kept)
+
+
+def test_a_loop_that_has_ended_is_not_kept():
+    left = leave_pending()
+    gc.collect()
+    assert left() is None
