Name the requests of a target that ended by their likeness

A request gets a fingerprint (method, host, path, account, the first 64 KiB of its body; keyed hash), and the gate says under which ones its target ended. A broken connection is only a reason to look: the end is a refused connection, or the target's next life. Before: no event told an ended target from a broken connection, nor one request that comes again under new ids from many. Ruled out: nothing yet.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -51,6 +51,7 @@
     GATE_REOPENED = 3531
     GATE_SEATED = 3532
     GATE_EMPTY = 3533
+    TARGET_ENDED = 3534
     NEIGHBOUR_HEARD = 4001
     NEIGHBOUR_SILENT = 4002
     MEMBER_JOINED = 4003
@@ -138,6 +139,7 @@
         EventCode.GATE_REOPENED: 'info',
         EventCode.GATE_SEATED: 'info',
         EventCode.GATE_EMPTY: 'info',
+        EventCode.TARGET_ENDED: 'warning',
         EventCode.NEIGHBOUR_HEARD: 'info',
         EventCode.NEIGHBOUR_SILENT: 'warning',
         EventCode.MEMBER_JOINED: 'info',
--- a/hillfield/gate/completion.py
+++ b/hillfield/gate/completion.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from hillfield.crashes import Run
 from hillfield.gate.endings import read_ending
 from hillfield.gate.standing import Ending
 from hillfield.gate.state import GateState
@@ -12,6 +13,7 @@
 )
 from hillfield.routing.phases import (
     AttemptAction,
+    AttemptPhase,
     AttemptTrigger,
     RequestTrigger,
 )
@@ -20,6 +22,16 @@
 from hillfield.routing.refusals import describe_reading
 from hillfield.routing.requests import Done, Observation, Verdict
 
+# Ends after which a target may be found to have ended under the request; a
+# caller that leaves closes the connection, and the run may go on.
+WITHOUT_ANSWER: Final = frozenset(
+    (
+        AttemptTrigger.BROKEN,
+        AttemptTrigger.GONE,
+        AttemptTrigger.RELAYED,
+        AttemptTrigger.TIMED_OUT,
+    ),
+)
 DOUBTFUL: Final = frozenset((AttemptAction.DOUBT, AttemptAction.ABANDON))
 
 
@@ -32,6 +44,9 @@
     """End an attempt and decide what the other node is told."""
     record = attempt.record
     reading = read_observation(observation)
+    written = attempt.phase is not AttemptPhase.CONNECTING
+    if written and reading.trigger in WITHOUT_ANSWER:
+        state.lost.note(make_run(now, attempt))
     action = attempt.follow(reading.trigger)
     state.ledger.close(attempt)
     state.standing.end()
@@ -53,6 +68,16 @@
     return state.refuse(record, describe_reading(reading))
 
 
+def make_run(now: float, attempt: AttemptRecord) -> Run:
+    """Return what is remembered of an attempt that ends without an answer."""
+    return Run(
+        attempt.record.arrival.fingerprint,
+        attempt.target.id,
+        now,
+        now - attempt.started,
+    )
+
+
 def _judge_end(
     state: GateState,
     now: float,
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -21,6 +21,7 @@
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.requests import (
     Arrival,
+    Broken,
     Done,
     Observation,
     Send,
@@ -65,6 +66,8 @@
                 state.record(EventCode.GATE_EMPTY, before, 'leaving or gone')
             return
         if before is None or before.target.id != seat.target.id:
+            if before is not None:
+                self.on_replaced(before.target.id)
             state.standing = Standing()
             state.latency = Latency()
             state.record(
@@ -95,6 +98,8 @@
             return Done('')
         verdict = finish(self._state, now, found, observation)
         self.listener(now)
+        if isinstance(observation, Broken):
+            self.on_lost(found.target.id)
         return verdict
 
     def find_hedge_delay(self, plan: RequestPlan) -> None:
--- a/hillfield/gate/notes.py
+++ b/hillfield/gate/notes.py
@@ -1,10 +1,22 @@
 """What a gate is told of attempts under way, and what it tells."""
 
+from collections.abc import Callable
+from typing import Final
+
+from hillfield.crashes import Run, TargetEnd
+from hillfield.events import EventCode, Occurrence
 from hillfield.gate.reporting import report_load
 from hillfield.gate.state import GateState
 from hillfield.loadreports.reports import LoadReport
+from hillfield.model import TargetId
 from hillfield.routing.phases import AttemptTrigger
 
+MILLISECONDS: Final = 1000
+
+# Is told that a request to a life of the target was lost, or that another
+# life has taken its place.
+LossListener = Callable[[TargetId], None]
+
 
 class GateNotes:
     """Take notes of attempts at the target, and tell of its room."""
@@ -13,6 +25,8 @@
         """Take notes in this state."""
         self._state = state
         self._told = 0
+        self.on_lost: LossListener = _tell_nobody
+        self.on_replaced: LossListener = _tell_nobody
 
     def note_written(self, now: float, attempt: int) -> None:
         """Note that the attempt's first byte is about to be written."""
@@ -33,3 +47,36 @@
         """Return what other nodes should know of the target's room."""
         self._told += 1
         return report_load(self._state, now, self._told)
+
+    def note_ended(
+        self,
+        now: float,
+        wall: int,
+        target: TargetId,
+    ) -> TargetEnd | None:
+        """Note that a life of the target has ended; return under what.
+
+        `wall` is the wall clock in milliseconds. None: no request was lost.
+        """
+        end = self._state.lost.close(now, wall, target)
+        if end is not None:
+            self._state.journal.record(
+                Occurrence(
+                    EventCode.TARGET_ENDED,
+                    service=target.service,
+                    target=str(target),
+                    detail=' '.join(map(_describe, end.runs)),
+                ),
+            )
+        return end
+
+
+def _describe(run: Run) -> str:
+    """Name a run: its fingerprint, and the milliseconds that it lasted."""
+    milliseconds = round(run.lasted * MILLISECONDS)
+    name = run.fingerprint.hex()
+    return f'{name}:{milliseconds}'
+
+
+def _tell_nobody(target: TargetId) -> None:
+    """Tell nobody: no one has asked yet."""
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from hillfield.crashes import LostRuns
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.queue import GateQueue
@@ -32,6 +33,7 @@
     latency: Latency = field(default_factory=Latency)
     calls: FailedCalls = field(default_factory=FailedCalls)
     durations: Durations = field(default_factory=Durations)
+    lost: LostRuns = field(default_factory=LostRuns)
 
     @property
     def target(self) -> Target | None:
--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -9,15 +9,12 @@
 from hillfield.announcements import TargetRegistry
 from hillfield.detection.paths import PathBoard
 from hillfield.fleet.feeds import FeedSettings
-from hillfield.gate import Gate
 from hillfield.gate.seating import Seating
 from hillfield.hostroutes import HostPlanner
 from hillfield.model import Address, AnswerChecks
 from hillfield.node.desk import ServiceDesk
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts, Recording
-from hillfield.node.quotas import QuotaExchange
-from hillfield.node.reporting import LoadReporting
 from hillfield.proxy import ProxyServer, ProxySettings, RequestMeter
 from hillfield.routing import DispatcherTable
 from hillfield.settings import NodeSettings
@@ -88,32 +85,3 @@
         ),
         store=fittings.store,
     )
-
-
-def make_reporting(
-    parts: Parts,
-    fittings: Fittings,
-    gate: Gate,
-) -> LoadReporting:
-    """Return what tells others of the room at this host's target."""
-    reporting = LoadReporting(
-        fittings.reports,
-        parts.settings.cluster_key.encode(),
-        gate,
-        parts.desk.follow_report,
-        parts.proxy.deliver,
-    )
-    reporting.socket.counter = parts.metrics.note_datagrams
-    return reporting
-
-
-def make_quotas(parts: Parts, fittings: Fittings) -> QuotaExchange:
-    """Return what holds the limits of accounts, asked by the planner."""
-    quotas = QuotaExchange(
-        fittings.quotas,
-        parts.settings.cluster_key.encode(),
-        Random(),
-    )
-    quotas.socket.counter = parts.metrics.note_datagrams
-    fittings.planner.quotas = quotas
-    return quotas
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -15,12 +15,13 @@
 from hillfield.hostroutes import RouteTable
 from hillfield.model import Address
 from hillfield.node.calls import CallMeter
-from hillfield.node.fittings import (
-    Fittings,
-    make_gated_parts,
+from hillfield.node.exchanges import (
+    make_crashes,
+    make_end_watch,
     make_quotas,
     make_reporting,
 )
+from hillfield.node.fittings import Fittings, make_gated_parts
 from hillfield.node.node import Node, NodeError
 from hillfield.node.parts import Recording
 from hillfield.proxy import ProxyServer
@@ -78,12 +79,15 @@
         super().__init__(settings, parts)
         self.seating = Seating(parts.registry, self.gate)
         self._fittings = fittings
+        self._crashes = make_crashes(parts)
         self._hops = ProxyServer(
             fittings.hops,
             GatePlans(self.gate, fittings.checks),
             self.gate,
             recording.journal,
+            guard=self._crashes,
         )
+        self._ends = make_end_watch(self.gate, self._hops, self._crashes)
         self._reporting = make_reporting(parts, fittings, self.gate)
         self._quotas = make_quotas(parts, fittings)
         self._listeners = (
@@ -158,6 +162,7 @@
         await self._stop_listeners()
 
     def _stop_ticking(self) -> None:
+        self._ends.stop()
         if self._gate_ticking is not None:
             self._gate_ticking.cancel()
 
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -22,6 +22,7 @@
 CONTROL: Final = 2
 REPORTS: Final = 3
 QUOTAS: Final = 4
+CRASHES: Final = 5
 # All nodes of one platform are one cluster. Its network is the platform's
 # own, so the key only keeps stray messages out.
 CLUSTER: Final = 'platform'
@@ -99,6 +100,7 @@
     hops: Address
     reports: Address
     quotas: Address
+    crashes: Address
     grace: float
     retry_ratio: float
     floor: float
@@ -129,6 +131,7 @@
         hops=Address(wire.ip, wire.internal_ports[0] + HOPS),
         reports=Address(wire.ip, wire.internal_ports[0] + REPORTS),
         quotas=Address(wire.ip, wire.internal_ports[0] + QUOTAS),
+        crashes=Address(wire.ip, wire.internal_ports[0] + CRASHES),
         grace=wire.bound('graceS', GRACE),
         retry_ratio=wire.bound('retryBudgetRatio', RETRY_RATIO),
         floor=wire.bound('floorShare', FLOOR),
--- a/hillfield/proxy/context.py
+++ b/hillfield/proxy/context.py
@@ -9,7 +9,7 @@
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.meters import RequestMeter
 from hillfield.proxy.pool import Pool
-from hillfield.proxy.ports import PlanSource
+from hillfield.proxy.ports import CrashGuard, PlanSource
 from hillfield.proxy.settings import ProxySettings
 from hillfield.proxy.wakes import Wakes
 from hillfield.routing.ports import Dispatchers, Dispatching
@@ -39,6 +39,7 @@
         dispatchers: Dispatchers,
         journal: Journal,
         meter: RequestMeter,
+        guard: CrashGuard,
     ) -> None:
         """Start with no request."""
         self.settings = settings
@@ -46,6 +47,7 @@
         self.dispatchers = dispatchers
         self.journal = journal
         self.meter = meter
+        self.guard = guard
         self.pool = Pool(settings)
         self.draining = False
         self.takers: dict[str, VerdictTaking] = {}
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -10,7 +10,7 @@
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.failures import Fault, describe_stray
 from hillfield.proxy.guards import run_guarded
-from hillfield.proxy.orders import Order
+from hillfield.proxy.orders import Order, describe_likeness
 from hillfield.proxy.relays import Relay
 from hillfield.proxy.replies import Reply
 from hillfield.proxy.running import RunningAttempts
@@ -79,6 +79,9 @@
                     self._order.plan,
                     self._order.expires,
                     replayable,
+                    self._context.guard.identify(
+                        describe_likeness(self._order),
+                    ),
                 ),
             ),
         )
--- a/hillfield/proxy/orders.py
+++ b/hillfield/proxy/orders.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from hillfield.crashes import Likeness
 from hillfield.model import RequestPlan
 from hillfield.proxy.bodies import RequestBody
 from hillfield.proxy.dialects import TargetDialect
@@ -42,6 +43,20 @@
     return fields
 
 
+def describe_likeness(order: Order) -> Likeness:
+    """Return by what the request is known when it comes again.
+
+    Of a body that is passed on in parts, what has come by now counts.
+    """
+    return Likeness(
+        order.start_line.method,
+        order.headers.get('Host', ''),
+        order.start_line.path,
+        order.plan.account,
+        order.body.join(),
+    )
+
+
 def find_length(order: Order) -> int | None:
     """Return the bytes of the body; None when there is none or unknown."""
     if not order.body.streamed:
--- a/hillfield/proxy/pool.py
+++ b/hillfield/proxy/pool.py
@@ -89,6 +89,32 @@
         Where targets are reached through the nodes beside them, it leads to
         the node of the address's host.
         """
+        try:
+            return Ok(await self._open(address))
+        except TimeoutError:
+            return Error('connect timed out')
+        except StreamClosedError as error:
+            return Error(f'connect failed: {error.real_error}')
+
+    async def is_refused(self, target: TargetId) -> bool:
+        """Tell whether nothing listens at the target's address any more.
+
+        An idle connection that is still open answers it without a new one;
+        one that had to be opened is kept for the next request.
+        """
+        stream = self.reuse(target)
+        if stream is None:
+            try:
+                stream = await self._open(target.address)
+            except TimeoutError:
+                return False
+            except StreamClosedError as error:
+                return isinstance(error.real_error, ConnectionRefusedError)
+        self.release(target, stream)
+        return False
+
+    async def _open(self, address: Address) -> PromptStream:
+        """Open a connection; raises what the library does."""
         gate_port = self._settings.gate_port
         if gate_port is not None:
             address = Address(address.ip, gate_port)
@@ -103,10 +129,8 @@
             )
         except TimeoutError:
             stream.close()
-            return Error('connect timed out')
-        except StreamClosedError as error:
-            return Error(f'connect failed: {error.real_error}')
-        return Ok(stream)
+            raise
+        return stream
 
 
 def _is_clean(stream: PromptStream) -> bool:
--- a/hillfield/proxy/ports.py
+++ b/hillfield/proxy/ports.py
@@ -5,6 +5,7 @@
 from expression import Result
 from msgspec import Struct
 
+from hillfield.crashes import Likeness
 from hillfield.model import RequestFailure, RequestPlan
 
 
@@ -34,3 +35,18 @@
         head: RequestHead,
     ) -> Result[RequestPlan, RequestFailure]:
         """Return the plan, or the failure to answer with (not run)."""
+
+
+class CrashGuard(Protocol):
+    """Know requests again that may end the targets that run them."""
+
+    def identify(self, likeness: Likeness) -> bytes:
+        """Return the fingerprint of a request."""
+
+
+class NoGuard:
+    """Know no request again."""
+
+    def identify(self, likeness: Likeness) -> bytes:
+        """Take no fingerprint."""
+        return b''
--- a/hillfield/proxy/server.py
+++ b/hillfield/proxy/server.py
@@ -13,7 +13,7 @@
 from hillfield.proxy.connections import CallerConnections
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.meters import NoMeter, RequestMeter
-from hillfield.proxy.ports import PlanSource
+from hillfield.proxy.ports import CrashGuard, NoGuard, PlanSource
 from hillfield.proxy.settings import ProxySettings
 from hillfield.routing.ports import Dispatchers
 from hillfield.routing.requests import Verdict
@@ -36,6 +36,7 @@
         dispatchers: Dispatchers,
         journal: Journal,
         meter: RequestMeter | None = None,
+        guard: CrashGuard | None = None,
     ) -> None:
         """Prepare; nothing listens yet."""
         self.address = settings.address
@@ -46,7 +47,9 @@
             dispatchers,
             journal,
             meter or NoMeter(),
+            guard or NoGuard(),
         )
+        self.pool = self._context.pool
         self._sockets: list[socket.socket] = []
         self._removers: list[Callable[[], None]] = []
         self._connections = CallerConnections(self._context)
--- a/hillfield/routing/requests.py
+++ b/hillfield/routing/requests.py
@@ -21,13 +21,15 @@
     """Announce a request that has been read, authenticated and planned.
 
     `replayable` says whether the request's body is held whole, so that a
-    second attempt can send the same bytes.
+    second attempt can send the same bytes, `fingerprint` tells the request
+    when it comes again under another id (empty: not taken).
     """
 
     request: str
     plan: RequestPlan
     expires: float
     replayable: bool
+    fingerprint: bytes = b''
 
 
 class Send(Struct, frozen=True):
