--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -99,8 +99,9 @@
 class Installation:
     """Start and end hosts; each has an IP number of its own."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, make_target=StandInTarget):
         self.folder = folder
+        self._make_target = make_target
         self.store_address = find_free(make_ip(0))
         self.store: Any = None
         self.hosts: list[Any] = []
@@ -133,7 +134,7 @@
             ip,
             (base + 4, base + 5, base + 6),
             self.folder / f'{number}.json',
-            StandInTarget(Address(ip, base + 7), service, f'i-{number}'),
+            self._make_target(Address(ip, base + 7), service, f'i-{number}'),
         )
         host.path.write_bytes(self._write_boot(host, number))
         self.hosts.append(host)
@@ -254,9 +255,14 @@
 
 
 @asynccontextmanager
-async def open_installation(folder, services, rules=RULES):
+async def open_installation(
+    folder,
+    services,
+    rules=RULES,
+    make_target=StandInTarget,
+):
     """Start an installation and end it."""
-    site = Installation(folder)
+    site = Installation(folder, make_target)
     async with AsyncExitStack() as stack:
         stack.push_async_callback(site.stop)
         await site.start(services, rules)
--- a/hillfield/platform/tests/standin_target.py
+++ b/hillfield/platform/tests/standin_target.py
@@ -41,6 +41,11 @@
         self.runs = []
         self.refused = []
         self.ended_early = []
+        self._server: Any = None
+        self.renew()
+
+    def renew(self):
+        """Make a server that has not been stopped yet."""
         paths = [('/.*', TargetHandler, {'target': self})]
         self._server = HTTPServer(
             Application(paths, log_function=lambda _: None),
@@ -53,6 +58,11 @@
         self._server.stop()
         await self._server.close_all_connections()
 
+    def note_run(self, run):
+        """Begin to run a request; return the seconds that it takes."""
+        self.runs.append(run)
+        return 3600 if self.mood == 'hang' else self.seconds
+
     async def announce(self, control, state='ready', sequence=None):
         """Send a heartbeat; return the status of the answer."""
         self.sequence += 1
@@ -115,7 +125,7 @@
         headers = self.request.headers
         target = self.target
         earlier = target.runs[-1:]
-        target.runs.append(
+        seconds = target.note_run(
             Run(
                 headers['X-Request-Id'],
                 headers.get('X-Caller-Service', ''),
@@ -127,7 +137,7 @@
                 headers.get('Authorization'),
             ),
         )
-        await asyncio.sleep(3600 if target.mood == 'hang' else target.seconds)
+        await asyncio.sleep(seconds)
         stream = find_stream(self.request)
         if target.mood == 'reset':
             stream.close()
