Refuse a request at every node once targets have ended under it in turn

Cause: a request is known by its id, at one node, for one attempt. What a gate learns it keeps for the life of its target. So a request that ends each target that runs it is new each time: to the node that repeats it, to the gate, to the next node that its caller asks. Now: the gate tells all nodes under which requests its target ended (sealed datagrams at once and once more, digests compared with one node a second), each node refuses a request from the third end on if two came one after the other, at its admission and again at each send; a good answer anywhere clears it. One node writes what is refused to the store, all read it at their start. Ruled out: independent crashes, and the nodes' own repeats alone (one fingerprint in all ends of a wave, under another id in each).

--- a/hillfield/crashes/__init__.py
+++ b/hillfield/crashes/__init__.py
@@ -1,12 +1,31 @@
 """Requests that end the targets that run them, known again by their likeness."""
 
 from hillfield.crashes.fingerprints import Fingerprinter, Likeness
+from hillfield.crashes.ledger import CrashLedger, split_rows
+from hillfield.crashes.messages import (
+    ClearRow,
+    CrashCodec,
+    EndRow,
+    Findings,
+    Inquiry,
+    StoredEnds,
+)
+from hillfield.crashes.refusing import describe_refusal
 from hillfield.crashes.runs import LostRuns, Run, TargetEnd
 
 __all__ = (
+    'ClearRow',
+    'CrashCodec',
+    'CrashLedger',
+    'EndRow',
     'Fingerprinter',
+    'Findings',
+    'Inquiry',
     'Likeness',
     'LostRuns',
     'Run',
+    'StoredEnds',
     'TargetEnd',
+    'describe_refusal',
+    'split_rows',
 )
--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -23,6 +23,7 @@
     HEDGE_SENT = 2009
     REQUEST_FAILED = 2010
     REQUEST_SENT_ON = 2011
+    CRASHING_REQUEST_REFUSED = 2012
     TARGET_SUSPECTED = 3001
     TARGET_EJECTED = 3002
     TARGET_AVOIDED = 3003
@@ -52,6 +53,9 @@
     GATE_SEATED = 3532
     GATE_EMPTY = 3533
     TARGET_ENDED = 3534
+    CRASHING_REQUEST_FOUND = 3535
+    CRASHING_REQUEST_CLEARED = 3536
+    CRASHING_REQUEST_NOT_STORED = 3537
     NEIGHBOUR_HEARD = 4001
     NEIGHBOUR_SILENT = 4002
     MEMBER_JOINED = 4003
@@ -111,6 +115,7 @@
         EventCode.HEDGE_SENT: 'debug',
         EventCode.REQUEST_FAILED: 'info',
         EventCode.REQUEST_SENT_ON: 'info',
+        EventCode.CRASHING_REQUEST_REFUSED: 'info',
         EventCode.TARGET_SUSPECTED: 'info',
         EventCode.TARGET_EJECTED: 'warning',
         EventCode.TARGET_AVOIDED: 'warning',
@@ -140,6 +145,9 @@
         EventCode.GATE_SEATED: 'info',
         EventCode.GATE_EMPTY: 'info',
         EventCode.TARGET_ENDED: 'warning',
+        EventCode.CRASHING_REQUEST_FOUND: 'warning',
+        EventCode.CRASHING_REQUEST_CLEARED: 'info',
+        EventCode.CRASHING_REQUEST_NOT_STORED: 'warning',
         EventCode.NEIGHBOUR_HEARD: 'info',
         EventCode.NEIGHBOUR_SILENT: 'warning',
         EventCode.MEMBER_JOINED: 'info',
--- a/hillfield/gate/endings.py
+++ b/hillfield/gate/endings.py
@@ -32,6 +32,17 @@
     return Ending.SILENT
 
 
+def is_success(observation: Observation) -> bool:
+    """Tell whether the target did the whole work and answered it.
+
+    >>> is_success(Answered(HTTPStatus.OK)), is_success(Broken(''))
+    (True, False)
+    """
+    if not isinstance(observation, Answered) or observation.wrong:
+        return False
+    return observation.status < HTTPStatus.MULTIPLE_CHOICES
+
+
 def _read_answer(answer: Answered) -> Ending:
     if answer.status == HTTPStatus.GATEWAY_TIMEOUT:
         return Ending.SILENT
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -11,6 +11,7 @@
 from hillfield.gate.admission import admit, serve_queue
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.completion import finish
+from hillfield.gate.endings import is_success
 from hillfield.gate.notes import GateNotes
 from hillfield.gate.seat import Seat
 from hillfield.gate.standing import Standing
@@ -100,6 +101,8 @@
         self.listener(now)
         if isinstance(observation, Broken):
             self.on_lost(found.target.id)
+        elif is_success(observation):
+            self.on_served(found.record.arrival.fingerprint)
         return verdict
 
     def find_hedge_delay(self, plan: RequestPlan) -> None:
--- a/hillfield/gate/notes.py
+++ b/hillfield/gate/notes.py
@@ -16,6 +16,8 @@
 # Is told that a request to a life of the target was lost, or that another
 # life has taken its place.
 LossListener = Callable[[TargetId], None]
+# Is told the fingerprint of a request that the target answered well.
+ServedListener = Callable[[bytes], None]
 
 
 class GateNotes:
@@ -27,6 +29,7 @@
         self._told = 0
         self.on_lost: LossListener = _tell_nobody
         self.on_replaced: LossListener = _tell_nobody
+        self.on_served: ServedListener = _tell_none
 
     def note_written(self, now: float, attempt: int) -> None:
         """Note that the attempt's first byte is about to be written."""
@@ -80,3 +83,7 @@
 
 def _tell_nobody(target: TargetId) -> None:
     """Tell nobody: no one has asked yet."""
+
+
+def _tell_none(fingerprint: bytes) -> None:
+    """Tell nobody: no one follows requests."""
--- /dev/null
+++ b/hillfield/node/crashnews.py
@@ -0,0 +1,119 @@
+"""Requests that end targets, told among the nodes of the fleet.
+
+The gate beside a target sees its end and tells all nodes at once, by a sealed
+datagram each. What is lost on the way, and what a node that starts or was cut
+off has missed, is mended by comparing digests with one other node each second,
+only while there is anything to compare.
+"""
+
+from random import Random
+from time import monotonic
+from typing import Final
+
+from hillfield.crashes import CrashCodec, Findings, Inquiry, split_rows
+from hillfield.model import Address
+from hillfield.node.crashes import CallerGuard, CrashBook, GateGuard
+from hillfield.node.datagrams import DatagramSocket
+from hillfield.timers import Appointment, find_timer
+
+# Rows of one datagram, and datagrams of one answer: what is left over goes in
+# answer to the next question.
+ROWS_AT_ONCE: Final = 24
+DATAGRAMS_AT_ONCE: Final = 32
+# Seconds between looks at what is to be told once more, and between questions:
+# a node that missed the news of an end hears it from the first node it asks.
+LOOK_AGAIN: Final = 0.3
+ASK_EVERY: Final = 0.9
+# Seconds after the start in which a node asks although it knows of nothing.
+JOINING: Final = 6.0
+
+
+class CrashExchange:
+    """Share what one node knows with the others."""
+
+    def __init__(
+        self,
+        address: Address,
+        key: bytes,
+        random: Random,
+        book: CrashBook,
+    ) -> None:
+        """Prepare; nothing is opened before `start`."""
+        self.socket = DatagramSocket(address, self._receive)
+        self.book = book
+        self.at_callers = CallerGuard(book)
+        self.at_gate = GateGuard(book)
+        self._codec = CrashCodec(key)
+        self._random = random
+        self._ticking: Appointment | None = None
+        self._again: list[Findings] = []
+        self._asked = float('-inf')
+        self._started = float('-inf')
+        book.on_news = self._spread
+
+    def start(self) -> None:
+        """Open the socket; raises `OSError` when it can't be had."""
+        self.socket.start()
+        self._started = monotonic()
+        self._ticking = find_timer().every(LOOK_AGAIN, self._tick)
+
+    async def stop(self) -> None:
+        """Tell no more, and close the socket."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+        await self.socket.stop()
+
+    def _spread(self, told: Findings) -> None:
+        self._again.append(told)
+        self._send(told, self._list_hosts())
+
+    def _tick(self) -> None:
+        """Tell once more what may have been lost, and ask what was missed."""
+        if self._again:
+            hosts = self._list_hosts()
+            for told in self._again:
+                self._send(told, hosts)
+            self._again.clear()
+        now = monotonic()
+        joining = now - self._started < JOINING
+        if not (self.book.ledger.cases or joining):
+            return
+        if now - self._asked >= ASK_EVERY:
+            self._asked = now
+            self._ask()
+
+    def _ask(self) -> None:
+        hosts = self._list_hosts()
+        if hosts:
+            question = Inquiry(self.book.ledger.list_digests())
+            self._send(question, [self._random.choice(hosts)])
+
+    def _receive(self, datagram: bytes, ip: str) -> None:
+        match self._codec.open(datagram):
+            case Findings() as told:
+                self.book.take(monotonic(), told)
+            case Inquiry() as question:
+                self._answer(question, ip)
+
+    def _answer(self, question: Inquiry, ip: str) -> None:
+        """Tell the parts that differ, and ask back for them."""
+        own = self.book.ledger.list_digests()
+        if own == question.digests:
+            return
+        differing = [
+            part
+            for part, (mine, theirs) in enumerate(zip(own, question.digests))
+            if mine != theirs
+        ]
+        told = self.book.ledger.tell(monotonic(), differing)
+        packed = list(split_rows(told, ROWS_AT_ONCE))
+        for findings in packed[:DATAGRAMS_AT_ONCE]:
+            self._send(findings, [ip])
+        if not question.answering:
+            self._send(Inquiry(own, answering=True), [ip])
+
+    def _list_hosts(self) -> list[str]:
+        return [record.link.ip for record in self.book.list_others()]
+
+    def _send(self, message: Findings | Inquiry, hosts: list[str]) -> None:
+        self.socket.send(self._codec.seal(message), hosts)
--- a/hillfield/node/exchanges.py
+++ b/hillfield/node/exchanges.py
@@ -2,14 +2,18 @@
 
 from random import Random
 
+from hillfield.events import Journal
 from hillfield.gate import Gate
-from hillfield.node.crashes import CrashExchange
+from hillfield.node.crashes import CrashBook
+from hillfield.node.crashnews import CrashExchange
+from hillfield.node.crashstore import CrashMemory
 from hillfield.node.ends import EndWatch
 from hillfield.node.fittings import Fittings
 from hillfield.node.parts import Parts
 from hillfield.node.quotas import QuotaExchange
 from hillfield.node.reporting import LoadReporting
 from hillfield.proxy import ProxyServer
+from hillfield.settings import NodeSettings
 
 
 def make_reporting(
@@ -41,9 +45,25 @@
     return quotas
 
 
-def make_crashes(parts: Parts) -> CrashExchange:
+def make_crashes(
+    settings: NodeSettings,
+    fittings: Fittings,
+    journal: Journal,
+) -> CrashExchange:
     """Return what knows requests again that end targets."""
-    return CrashExchange(parts.settings.cluster_key.encode())
+    key = settings.cluster_key.encode()
+    book = CrashBook(key, journal)
+    return CrashExchange(fittings.crashes, key, Random(), book)
+
+
+def make_crash_memory(parts: Parts, crashes: CrashExchange) -> CrashMemory:
+    """Return what keeps such requests in the store."""
+    return CrashMemory(
+        parts.settings.cluster,
+        parts.store,
+        crashes.book,
+        parts.journal,
+    )
 
 
 def make_end_watch(
@@ -52,4 +72,5 @@
     crashes: CrashExchange,
 ) -> EndWatch:
     """Return what tells when this host's target has ended."""
-    return EndWatch(gate, hops.pool, crashes.take_end)
+    gate.on_served = crashes.book.note_served
+    return EndWatch(gate, hops.pool, crashes.book.take_end)
--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -16,6 +16,7 @@
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts, Recording
 from hillfield.proxy import ProxyServer, ProxySettings, RequestMeter
+from hillfield.proxy.ports import CrashGuard
 from hillfield.routing import DispatcherTable
 from hillfield.settings import NodeSettings
 from hillfield.store.ports import OpenStore
@@ -36,8 +37,8 @@
 
     `callers` and `hops` are the settings of the two servers, `checks` tell a
     wrong answer of the target, `reports` is where load reports come in
-    (datagrams, the same port on all hosts) and `quotas` where those of accounts'
-    requests do, `relay` how the store is followed,
+    (datagrams, the same port on all hosts), `quotas` where those of accounts'
+    requests do and `crashes` where those of requests that end targets do, `relay` how the store is followed,
     `make_listeners` what else listens.
     """
 
@@ -47,6 +48,7 @@
     hops: ProxySettings
     reports: Address
     quotas: Address
+    crashes: Address
     checks: AnswerChecks
     relay: FeedSettings
     make_listeners: Callable[[Seating, NodePage], tuple[Listening, ...]]
@@ -57,10 +59,12 @@
     recording: Recording,
     fittings: Fittings,
     meter: RequestMeter,
+    guard: CrashGuard,
 ) -> Parts:
     """Build all parts of a gated node; nothing is opened yet.
 
-    `meter` is told of the requests of this host's callers.
+    `meter` is told of the requests of this host's callers, `guard` knows those
+    that end targets.
     """
     planner = fittings.planner
     journal = recording.journal
@@ -82,6 +86,7 @@
             desk,
             journal,
             meter,
+            guard,
         ),
         store=fittings.store,
     )
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -16,6 +16,7 @@
 from hillfield.model import Address
 from hillfield.node.calls import CallMeter
 from hillfield.node.exchanges import (
+    make_crash_memory,
     make_crashes,
     make_end_watch,
     make_quotas,
@@ -75,17 +76,23 @@
         """Build the parts; nothing is opened before `start`."""
         self.gate = Gate(recording.journal)
         meter = CallMeter(recording.metrics, self.gate.calls)
-        parts = make_gated_parts(settings, recording, fittings, meter)
+        self._crashes = make_crashes(settings, fittings, recording.journal)
+        parts = make_gated_parts(
+            settings,
+            recording,
+            fittings,
+            meter,
+            self._crashes.at_callers,
+        )
         super().__init__(settings, parts)
         self.seating = Seating(parts.registry, self.gate)
         self._fittings = fittings
-        self._crashes = make_crashes(parts)
         self._hops = ProxyServer(
             fittings.hops,
             GatePlans(self.gate, fittings.checks),
             self.gate,
             recording.journal,
-            guard=self._crashes,
+            guard=self._crashes.at_gate,
         )
         self._ends = make_end_watch(self.gate, self._hops, self._crashes)
         self._reporting = make_reporting(parts, fittings, self.gate)
@@ -94,6 +101,7 @@
             *fittings.make_listeners(self.seating, self.page),
             self._reporting,
             self._quotas,
+            self._crashes,
         )
         self._gate_ticking: Appointment | None = None
         fittings.planner.listener = self._adopt_table
@@ -138,6 +146,7 @@
     ) -> tuple[Coroutine[None, None, None], ...]:
         self._reporting.join(fleet.state.core)
         self._quotas.join(fleet.state.core)
+        self._crashes.book.join(fleet.state.core)
         relay = OpenRelay(
             fleet,
             self.parts.store,
@@ -145,7 +154,8 @@
             Random(),
             self.parts.journal,
         )
-        return (relay.run(),)
+        memory = make_crash_memory(self.parts, self._crashes)
+        return relay.run(), memory.run()
 
     async def _drain(self) -> None:
         # The store is followed by others from now on.
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -94,6 +94,7 @@
             hops=self._make_hop_settings(),
             reports=self._boot.reports,
             quotas=self._boot.quotas,
+            crashes=self._boot.crashes,
             checks=SIGNED,
             relay=FeedSettings(
                 (KEY,),
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -10,7 +10,7 @@
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.failures import Fault, describe_stray
 from hillfield.proxy.guards import run_guarded
-from hillfield.proxy.orders import Order, describe_likeness
+from hillfield.proxy.orders import Order
 from hillfield.proxy.relays import Relay
 from hillfield.proxy.replies import Reply
 from hillfield.proxy.running import RunningAttempts
@@ -67,6 +67,11 @@
         self.started = True
         self._started_at = monotonic()
         request = self._order.passage.key
+        fingerprint = self._running.identify()
+        refusal = self._running.find_refusal()
+        if refusal is not None:
+            self.fail(refusal)
+            return
         self._context.takers[request] = self
         sign_after = self._context.settings.sign_after
         if sign_after:
@@ -79,9 +84,7 @@
                     self._order.plan,
                     self._order.expires,
                     replayable,
-                    self._context.guard.identify(
-                        describe_likeness(self._order),
-                    ),
+                    fingerprint,
                 ),
             ),
         )
@@ -93,7 +96,9 @@
                 now = monotonic()
                 self._dispatching.finish(now, verdict.attempt, CallerGone())
             case Send():
-                self._running.launch(verdict, self)
+                refusal = self._running.launch(verdict, self)
+                if refusal is not None:
+                    self.fail(refusal)
             case Wait():
                 self._context.wakes.follow(self._dispatching)
             case Refuse():
--- a/hillfield/proxy/ports.py
+++ b/hillfield/proxy/ports.py
@@ -38,11 +38,19 @@
 
 
 class CrashGuard(Protocol):
-    """Know requests again that may end the targets that run them."""
+    """Know requests again that end the targets that run them."""
 
     def identify(self, likeness: Likeness) -> bytes:
         """Return the fingerprint of a request."""
 
+    def refuse(
+        self,
+        fingerprint: bytes,
+        *,
+        may_have_run: bool,
+    ) -> RequestFailure | None:
+        """Return why a request is not sent to any target, if so."""
+
 
 class NoGuard:
     """Know no request again."""
@@ -50,3 +58,11 @@
     def identify(self, likeness: Likeness) -> bytes:
         """Take no fingerprint."""
         return b''
+
+    def refuse(
+        self,
+        fingerprint: bytes,
+        *,
+        may_have_run: bool,
+    ) -> RequestFailure | None:
+        """Let everything through."""
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -11,7 +11,7 @@
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.dialects import show_milliseconds
 from hillfield.proxy.guards import run_guarded
-from hillfield.proxy.orders import Order
+from hillfield.proxy.orders import Order, describe_likeness
 from hillfield.proxy.tools import AttemptTools
 from hillfield.routing.ports import Dispatching
 from hillfield.routing.requests import (
@@ -50,6 +50,7 @@
         self.may_have_run = False
         self.target_seconds = float()
         self._reason = ''
+        self._fingerprint = b''
         self._context = context
         self._dispatching = dispatching
         self._tools = AttemptTools(
@@ -59,8 +60,35 @@
         )
         self._tasks: set[Task[None]] = set()
 
-    def launch(self, send: Send, owner: AttemptOwner) -> None:
-        """Start an attempt, and time a second one beside it."""
+    def identify(self) -> bytes:
+        """Take the fingerprint of the request, whose body has come."""
+        guard = self._context.guard
+        self._fingerprint = guard.identify(describe_likeness(self._order))
+        return self._fingerprint
+
+    def find_refusal(self) -> RequestFailure | None:
+        """Return why the request is not sent to any target, if so."""
+        return self._context.guard.refuse(
+            self._fingerprint,
+            may_have_run=self.may_have_run or bool(self.attempts),
+        )
+
+    def launch(
+        self,
+        send: Send,
+        owner: AttemptOwner,
+    ) -> RequestFailure | None:
+        """Start an attempt, and time a second one beside it.
+
+        First attempts, repeats, second ones and what has waited all pass
+        here, so each asks anew whether targets have ended under the request
+        meanwhile; then it isn't sent, and the failure is returned.
+        """
+        refusal = self.find_refusal()
+        if refusal is not None:
+            now = monotonic()
+            self._dispatching.finish(now, send.attempt, CallerGone())
+            return refusal
         attempt = Attempt(send, self._order, self._tools, owner)
         self.attempts[send.attempt] = attempt
         if self._reason:
@@ -71,6 +99,7 @@
         task.add_done_callback(self._tasks.discard)
         if not self._order.body.streamed:
             self._time_hedge(owner)
+        return None
 
     def finish(self, attempt: Attempt, observation: Observation) -> Verdict:
         """Report the end of an attempt."""
