Decide by a clock that counts the seconds of a suspension

Cause: the steady clock stands still while a host is suspended, so a node woke with deadlines, leases, evidence and quotas as fresh as before its sleep, and handed targets more time than was left. All decisions now read one module, hillfield.clocks, by CLOCK_BOOTTIME; a suspension is to them what a freeze is. Ruled out: timers of the loop by that clock (the library's; they only run late, and what they then decide is decided by the time that has passed). Before: a node suspended for 5 s noticed nothing; after: PAUSE_NOTICED, and no request is sent on after its deadline (hillfield/clocks/tests, with the clocks moved apart).

--- a/hillfield/cli/timeline.py
+++ b/hillfield/cli/timeline.py
@@ -14,7 +14,8 @@
 from hillfield.cli.nodes import NodeCallError, fetch_page
 from hillfield.cli.options import Json, Nodes, read_nodes, read_option
 from hillfield.control.pages import MembersPage
-from hillfield.events import TimelineEntry, merge_timelines, read_wall
+from hillfield.clocks import read_wall
+from hillfield.events import TimelineEntry, merge_timelines
 from hillfield.model import Address, parse_address
 
 CALLS_AT_ONCE: Final = 16
--- a/hillfield/control/ports.py
+++ b/hillfield/control/ports.py
@@ -1,11 +1,11 @@
 """What the control server needs of the node."""
 
 from collections.abc import Callable
-from time import monotonic
 from typing import Protocol
 
 from msgspec import Struct
 
+from hillfield.clocks import monotonic, read_wall
 from hillfield.announcements import TargetRegistry
 from hillfield.control.pages import (
     ConfigurationPage,
@@ -13,7 +13,7 @@
     Readiness,
     ServicePage,
 )
-from hillfield.events import Timeline, read_wall
+from hillfield.events import Timeline
 from hillfield.metrics import NodeMetrics
 from hillfield.model import Target
 
--- a/hillfield/events/__init__.py
+++ b/hillfield/events/__init__.py
@@ -9,7 +9,7 @@
 )
 from hillfield.events.logs import Logger, SilentLogger, StructuredLogger
 from hillfield.events.occurrences import Journal, ListJournal, Occurrence
-from hillfield.events.timeline import Timeline, read_wall
+from hillfield.events.timeline import Timeline
 
 __all__ = (
     'SEVERITIES',
@@ -26,5 +26,4 @@
     'TimelineEntry',
     'TimelineFilter',
     'merge_timelines',
-    'read_wall',
 )
--- a/hillfield/events/timeline.py
+++ b/hillfield/events/timeline.py
@@ -3,9 +3,9 @@
 from collections import deque
 from collections.abc import Callable
 from itertools import chain
-from time import time_ns
 from typing import Final
 
+from hillfield.clocks import read_wall
 from hillfield.events.clock import HybridClock, Stamp
 from hillfield.events.entries import (
     TimelineEntry,
@@ -18,15 +18,9 @@
 from hillfield.events.occurrences import Occurrence
 from hillfield.settings import NodeSettings
 
-NANOSECONDS_PER_MILLISECOND: Final = 1000000
 EVERYTHING: Final = TimelineFilter()
 
 
-def read_wall() -> int:
-    """Return the wall clock in milliseconds."""
-    return time_ns() // NANOSECONDS_PER_MILLISECOND
-
-
 class Timeline:
     """Keep the newest events and log them; implements `Journal`.
 
--- a/hillfield/fleet/feeds.py
+++ b/hillfield/fleet/feeds.py
@@ -1,12 +1,12 @@
 """Feed the fleet with all that the store holds under some prefixes."""
 
-import time
 from asyncio import TaskGroup, gather, sleep
 from random import Random
 from typing import Final
 
 from msgspec import Struct
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.feeding import feed_snapshot, feed_value
 from hillfield.fleet.service import Fleet
@@ -69,7 +69,7 @@
 
     def note_error(self, error: StoreError) -> None:
         """Record a failed call, not each of a row."""
-        now = time.monotonic()
+        now = monotonic()
         if now - self._reported >= REPORT_AGAIN:
             self._reported = now
             self._journal.record(
--- a/hillfield/fleet/introductions.py
+++ b/hillfield/fleet/introductions.py
@@ -1,10 +1,10 @@
 """Make a node known in the store, and find its first peers there."""
 
-import time
 from collections.abc import Sequence
 from random import Random
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.fleet.feeds import PAGE, StoreFeed
 from hillfield.fleet.peering.selection import rank_names
 from hillfield.fleet.registrations import Registration, read_registrations
@@ -143,7 +143,7 @@
         ]
 
     def _dial(self, chosen: Sequence[Registration]) -> None:
-        now = time.monotonic()
+        now = monotonic()
         for registration in chosen:
             # A node that has just started must not wait for its next turn.
             self._fleet.state.dial(now, registration.link)
--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.backoff import Backoff
 from hillfield.fleet.core import Core
@@ -102,7 +102,7 @@
         while True:
             await find_timer().pause(LOOK_AGAIN)
             core = self._fleet.state.core
-            now = time.monotonic()
+            now = monotonic()
             if seeking.is_due(now, well=bool(core.heard_links())):
                 await self._introductions.meet()
             if reading.is_due(now, well=not is_cut_off(core, now)):
@@ -112,8 +112,8 @@
     async def _insist(self, step: Step) -> None:
         """Take a step again and again until it succeeds."""
         while not await step():
-            self._circuit.note_failure(time.monotonic())
-            await asyncio.sleep(self._circuit.find_wait(time.monotonic()))
+            self._circuit.note_failure(monotonic())
+            await asyncio.sleep(self._circuit.find_wait(monotonic()))
         self._circuit.note_success()
 
     async def _take_turns(self) -> None:
@@ -148,7 +148,7 @@
     async def _cross(self) -> None:
         """Look for other failure domains until one of them is heard."""
         core = self._fleet.state.core
-        if self._crossing.is_due(time.monotonic(), well=hears_far(core)):
+        if self._crossing.is_due(monotonic(), well=hears_far(core)):
             await self._introductions.meet()
             self._introductions.offer_far()
 
--- a/hillfield/fleet/relay.py
+++ b/hillfield/fleet/relay.py
@@ -1,11 +1,11 @@
 """Hold a leased relay slot when one is open, and feed the fleet from it."""
 
 import asyncio
-import time
 from contextlib import suppress
 from random import Random
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.feeds import FeedSettings, StoreFeed
 from hillfield.fleet.service import Fleet
@@ -78,7 +78,7 @@
         if self._fleet.state.core.heard_links():
             self._pause = SEEK_AGAIN
             return
-        now = time.monotonic()
+        now = monotonic()
         pause = self._pause * self._random.uniform(0.5, 1)
         if now - self._sought < pause:
             return
@@ -95,7 +95,7 @@
         for stored in read.ok.entries:
             address = parse_address(stored.payload.decode('utf-8', 'replace'))
             if address.is_ok():
-                self._fleet.state.offer_address(time.monotonic(), address.ok)
+                self._fleet.state.offer_address(monotonic(), address.ok)
 
     async def _take_turn(self, opened: OpenSlot) -> None:
         """Wait for our turn; take the slot if it is still open."""
@@ -164,7 +164,7 @@
 
         So parts of a fleet that have lost each other's addresses meet again.
         """
-        now = time.monotonic()
+        now = monotonic()
         if now - self._sought >= SEEK_LIMIT:
             self._sought = now
             await self._offer_relays()
--- a/hillfield/fleet/service.py
+++ b/hillfield/fleet/service.py
@@ -1,7 +1,6 @@
 """Tie the fleet's state to its links and to the loop."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -9,6 +8,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from hillfield.clocks import monotonic
 from hillfield.configuration.entries import Entry
 from hillfield.detection.evidence import Evidence
 from hillfield.events import EventCode, Journal, Occurrence
@@ -91,7 +91,7 @@
         """Say goodbye to the neighbours and close all links."""
         if self._ticking is not None:
             self._ticking.cancel()
-            self._perform(self.state.leave(time.monotonic()))
+            self._perform(self.state.leave(monotonic()))
             await asyncio.sleep(LAST_WORDS)
         self.links.close()
 
@@ -103,11 +103,11 @@
 
     def publish_targets(self, targets: tuple[Target, ...]) -> None:
         """Set the targets of this host."""
-        self.state.publish_targets(time.monotonic(), targets)
+        self.state.publish_targets(monotonic(), targets)
 
     def publish_evidence(self, evidence: tuple[Evidence, ...]) -> None:
         """Set what this node tells others of targets."""
-        self.state.publish_evidence(time.monotonic(), evidence)
+        self.state.publish_evidence(monotonic(), evidence)
 
     def submit(self, entry: Entry) -> bool:
         """Adopt an entry that the store accepted and spread it."""
@@ -124,7 +124,7 @@
                 self._pass_in(Refused(reason))
 
     def _pass_in(self, event: Event) -> None:
-        self._perform(self.state.take(time.monotonic(), event))
+        self._perform(self.state.take(monotonic(), event))
         self._tell()
 
     def _perform(self, effects: tuple[Effect, ...]) -> None:
--- a/hillfield/node/calls.py
+++ b/hillfield/node/calls.py
@@ -1,7 +1,6 @@
 """Let the gate hear which requests of its host have failed."""
 
-from time import monotonic
-
+from hillfield.clocks import monotonic
 from hillfield.gate.calls import FailedCalls
 from hillfield.model import Outcome
 from hillfield.proxy import RequestMeter
--- a/hillfield/node/crashes.py
+++ b/hillfield/node/crashes.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from time import monotonic
+from hillfield.clocks import monotonic
 from hillfield.crashes import (
     ClearRow,
     CrashLedger,
--- a/hillfield/node/crashnews.py
+++ b/hillfield/node/crashnews.py
@@ -7,9 +7,9 @@
 """
 
 from random import Random
-from time import monotonic
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.crashes import CrashCodec, Findings, Inquiry, split_rows
 from hillfield.model import Address
 from hillfield.node.crashes import CallerGuard, CrashBook, GateGuard
--- a/hillfield/node/crashstore.py
+++ b/hillfield/node/crashstore.py
@@ -1,13 +1,14 @@
 """Requests that end targets, kept in the store for a fleet that starts anew."""
 
 from asyncio import gather
-from time import monotonic, time
+from time import time
 from typing import Final
 
 from msgspec import MsgspecError
 from msgspec.msgpack import decode, encode
 from msgspec.structs import replace
 
+from hillfield.clocks import monotonic
 from hillfield.crashes import EndRow, Findings, StoredEnds
 from hillfield.crashes.cases import Case
 from hillfield.events import EventCode, Journal, Occurrence
--- a/hillfield/node/desk.py
+++ b/hillfield/node/desk.py
@@ -1,9 +1,9 @@
 """The dispatchers of the services that this node serves."""
 
 from collections.abc import Callable
-from time import monotonic
 from typing import Protocol
 
+from hillfield.clocks import monotonic
 from hillfield.fleet import NodeEvidence
 from hillfield.fleet.findings import FindingsView
 from hillfield.fleet.view import TargetView
--- a/hillfield/node/ends.py
+++ b/hillfield/node/ends.py
@@ -2,15 +2,14 @@
 
 from asyncio import Task, create_task, sleep
 from collections.abc import Callable
-from time import monotonic, time_ns
 from typing import Final
 
+from hillfield.clocks import monotonic, read_wall
 from hillfield.crashes import TargetEnd
 from hillfield.gate import Gate
 from hillfield.model import TargetId
 from hillfield.proxy.pool import Pool
 
-NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 # Seconds between the two looks at a target that lost a request. The first may
 # come while its process is still closing its sockets; a target that has ended
 # is away for seconds, so the second one is sure.
@@ -55,7 +54,7 @@
             self._note(target)
 
     def _note(self, target: TargetId) -> None:
-        wall = time_ns() // NANOSECONDS_PER_MILLISECOND
+        wall = read_wall()
         end = self._gate.note_ended(monotonic(), wall, target)
         if end is not None:
             self._take(end)
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Coroutine
 from random import Random
-from time import monotonic
 from typing import Final
 
 from expression import Error, Result
 from msgspec.structs import replace
 
+from hillfield.clocks import monotonic
 from hillfield.fleet import Fleet, FleetSettings
 from hillfield.fleet.openrelay import OpenRelay
 from hillfield.gate import Gate, GatePlans, Seating
@@ -76,13 +76,13 @@
         """Build the parts; nothing is opened before `start`."""
         self.gate = Gate(recording.journal)
         meter = CallMeter(recording.metrics, self.gate.calls)
-        self._crashes = make_crashes(settings, fittings, recording.journal)
+        self.crashes = make_crashes(settings, fittings, recording.journal)
         parts = make_gated_parts(
             settings,
             recording,
             fittings,
             meter,
-            self._crashes.at_callers,
+            self.crashes.at_callers,
         )
         super().__init__(settings, parts)
         self.seating = Seating(parts.registry, self.gate)
@@ -92,16 +92,16 @@
             GatePlans(self.gate, fittings.checks),
             self.gate,
             recording.journal,
-            guard=self._crashes.at_gate,
+            guard=self.crashes.at_gate,
         )
-        self._ends = make_end_watch(self.gate, self._hops, self._crashes)
+        self._ends = make_end_watch(self.gate, self._hops, self.crashes)
         self._reporting = make_reporting(parts, fittings, self.gate)
         self._quotas = make_quotas(parts, fittings)
         self._listeners = (
             *fittings.make_listeners(self.seating, self.page),
             self._reporting,
             self._quotas,
-            self._crashes,
+            self.crashes,
         )
         self._gate_ticking: Appointment | None = None
         fittings.planner.listener = self._adopt_table
@@ -146,7 +146,7 @@
     ) -> tuple[Coroutine[None, None, None], ...]:
         self._reporting.join(fleet.state.core)
         self._quotas.join(fleet.state.core)
-        self._crashes.book.join(fleet.state.core)
+        self.crashes.book.join(fleet.state.core)
         relay = OpenRelay(
             fleet,
             self.parts.store,
@@ -154,7 +154,7 @@
             Random(),
             self.parts.journal,
         )
-        memory = make_crash_memory(self.parts, self._crashes)
+        memory = make_crash_memory(self.parts, self.crashes)
         return relay.run(), memory.run()
 
     async def _drain(self) -> None:
--- a/hillfield/node/node.py
+++ b/hillfield/node/node.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from collections.abc import Coroutine
-from time import time_ns
 from typing import Final
 
 from expression import Error, Ok, Result
 from msgspec import Struct
 
+from hillfield.clocks import read_wall
 from hillfield.control import ControlPorts, ControlServer
 from hillfield.events import EventCode, Occurrence
 from hillfield.fleet import Fleet, FleetListeners, FleetSettings
@@ -22,7 +22,6 @@
 
 # Time for a relay to give its slot up, so that others need not wait for it.
 STOP_BOUND: Final = 2.0
-NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
 
 class NodeError(Struct, frozen=True):
@@ -143,7 +142,7 @@
             cluster=settings.cluster,
             key=settings.cluster_key.encode(),
             name=settings.name,
-            incarnation=time_ns() // NANOSECONDS_PER_MILLISECOND,
+            incarnation=read_wall(),
             locality=settings.locality,
             link=settings.listen.links,
             control=control,
--- a/hillfield/node/page.py
+++ b/hillfield/node/page.py
@@ -1,8 +1,9 @@
 """What a node shows of itself over its control address."""
 
-from time import monotonic, time
+from time import time
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.configuration.entries import Entry
 from hillfield.control import (
     ConfigurationPage,
--- a/hillfield/node/probing.py
+++ b/hillfield/node/probing.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections import deque
-from time import monotonic
 from typing import Final
 
 from pycurl import error as CurlFailure  # noqa: N812
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from hillfield.clocks import monotonic
 from hillfield.detection.explanations import TargetExplanation
 from hillfield.model import Address, TargetId
 from hillfield.node.parts import Parts
--- a/hillfield/node/quotas.py
+++ b/hillfield/node/quotas.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator, Sequence
 from functools import partial
 from random import Random
-from time import monotonic
 from typing import Final, TypeVar
 
+from hillfield.clocks import monotonic
 from hillfield.configuration.schema.accounts import FleetAccount
 from hillfield.fleet.audience import list_alive
 from hillfield.fleet.core import Core
--- a/hillfield/node/reading.py
+++ b/hillfield/node/reading.py
@@ -2,8 +2,9 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from time import monotonic, time
+from time import time
 
+from hillfield.clocks import monotonic
 from hillfield.metrics import LinkReading, NodeReading, TargetCount
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts
--- a/hillfield/node/reporting.py
+++ b/hillfield/node/reporting.py
@@ -1,9 +1,9 @@
 """Load reports between nodes: datagrams, sent when due and taken in."""
 
 from collections.abc import Callable
-from time import monotonic
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.fleet.audience import Audience, choose_audience, list_alive
 from hillfield.fleet.core import Core
 from hillfield.gate import Gate
--- a/hillfield/node/ticking.py
+++ b/hillfield/node/ticking.py
@@ -1,10 +1,10 @@
 """What a node does at each tick."""
 
-from time import monotonic
 from typing import Final
 
 from msgspec.structs import replace
 
+from hillfield.clocks import monotonic
 from hillfield.fleet import Fleet
 from hillfield.model import TargetState
 from hillfield.node.counting import TotalsCarrier
--- a/hillfield/platform/heartbeats.py
+++ b/hillfield/platform/heartbeats.py
@@ -1,7 +1,6 @@
 """Heartbeats of the host's target, and whether this node is ready."""
 
 from http import HTTPStatus
-from time import monotonic, time_ns
 from typing import Final
 
 from expression import Error, Ok, Result
@@ -16,6 +15,7 @@
 from msgspec.json import decode, encode
 from tornado.web import RequestHandler
 
+from hillfield.clocks import monotonic, read_wall
 from hillfield.announcements import Announcement, AnnouncementProblem
 from hillfield.announcements.messages import Amount
 from hillfield.control.plainserver import PlainServer
@@ -24,7 +24,6 @@
 from hillfield.model import Address, Target, TargetState, parse_address
 from hillfield.node.page import NodePage
 
-NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 # No node but this one opens connections to its target, and no more than the
 # target has slots: the platform's limit is never reached.
 CONNECTIONS: Final = 4096
@@ -103,7 +102,7 @@
             self._refuse(name, read.error)
             return
         announcement, sequence = read.ok
-        wall = time_ns() // NANOSECONDS_PER_MILLISECOND
+        wall = read_wall()
         told = self._seating.announce(
             monotonic(),
             wall,
@@ -115,7 +114,7 @@
 
     def delete(self, name: str) -> None:
         """Take a farewell; the answer binds the fleet."""
-        wall = time_ns() // NANOSECONDS_PER_MILLISECOND
+        wall = read_wall()
         told = self._seating.withdraw(monotonic(), name, wall)
         self._acknowledge(name, told)
 
--- a/hillfield/proxy/attempts.py
+++ b/hillfield/proxy/attempts.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable
 from contextlib import suppress
 from functools import partial
-from time import monotonic
 from typing import Protocol
 
 from tornado.httputil import (
@@ -14,6 +13,7 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
+from hillfield.clocks import monotonic
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.incoming import IncomingAnswer
 from hillfield.proxy.orders import Order
--- a/hillfield/proxy/context.py
+++ b/hillfield/proxy/context.py
@@ -1,9 +1,9 @@
 """What the requests of one node share."""
 
 from functools import partial
-from time import monotonic
 from typing import Protocol
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.model import RequestFailure
 from hillfield.proxy.guards import run_guarded
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -2,9 +2,9 @@
 
 from asyncio import get_running_loop
 from collections.abc import Awaitable
-from time import monotonic
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.model import RequestFailure
 from hillfield.proxy.attempts import Attempt
 from hillfield.proxy.context import ProxyContext
--- a/hillfield/proxy/requests.py
+++ b/hillfield/proxy/requests.py
@@ -2,7 +2,6 @@
 
 from asyncio import Future
 from functools import partial
-from time import monotonic
 
 from expression import Error, Ok, Result
 from msgspec.structs import replace
@@ -13,6 +12,7 @@
     ResponseStartLine,
 )
 
+from hillfield.clocks import monotonic
 from hillfield.model import Outcome, RequestFailure, RequestPlan
 from hillfield.proxy.bodies import RequestBody
 from hillfield.proxy.context import ProxyContext
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -2,9 +2,9 @@
 
 from asyncio import Task, TimerHandle, create_task, get_running_loop
 from functools import partial
-from time import monotonic
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Occurrence
 from hillfield.model import RequestFailure
 from hillfield.proxy.attempts import Attempt, AttemptOwner
--- a/hillfield/proxy/sending.py
+++ b/hillfield/proxy/sending.py
@@ -1,11 +1,11 @@
 """A request's way onto a connection to a target."""
 
 from asyncio import Task, create_task
-from time import monotonic
 
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 
+from hillfield.clocks import monotonic
 from hillfield.proxy.dialects import TargetDialect
 from hillfield.proxy.fields import Fields
 from hillfield.proxy.orders import Order, list_fields
--- a/hillfield/proxy/signs.py
+++ b/hillfield/proxy/signs.py
@@ -1,9 +1,9 @@
 """Signs of life of the node that a request was sent to."""
 
 from functools import partial
-from time import monotonic
 from typing import Protocol
 
+from hillfield.clocks import monotonic
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.incoming import IncomingAnswer
 from hillfield.proxy.orders import Order
--- a/hillfield/proxy/wakes.py
+++ b/hillfield/proxy/wakes.py
@@ -2,9 +2,9 @@
 
 from asyncio import TimerHandle, get_running_loop
 from collections.abc import Callable
-from time import monotonic
 from typing import Final
 
+from hillfield.clocks import monotonic
 from hillfield.routing.ports import Dispatching
 
 # Bounds how often a dispatcher is polled that names a time gone by.
--- a/hillfield/store/following.py
+++ b/hillfield/store/following.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from random import Random
-from time import monotonic
 from typing import Final
 
 from expression import Result
 from msgspec import Struct
 
+from hillfield.clocks import monotonic
 from hillfield.store.paging import Snapshot, Span, read_span
 from hillfield.store.ports import Store, StoredValue, StoreError
 from hillfield.store.retries import Circuit, RetrySettings
--- a/hillfield/store/leases.py
+++ b/hillfield/store/leases.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from random import Random
-from time import monotonic
 from types import MappingProxyType
 from typing import Final
 
 from expression import Result
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.store.lease_clock import LeaseAction, LeaseClock, LeaseSettings
 from hillfield.store.ports import Store, StoreError
