Ask by one digest whether two nodes know the same of crashing requests

Three questions in four stay in the failure domain. The digests are summed up when something was told, not at each question.

--- a/hillfield/crashes/__init__.py
+++ b/hillfield/crashes/__init__.py
@@ -4,10 +4,12 @@
 from hillfield.crashes.ledger import CrashLedger, split_rows
 from hillfield.crashes.messages import (
     ClearRow,
+    Comparison,
     CrashCodec,
     EndRow,
     Findings,
     Inquiry,
+    Message,
     StoredEnds,
 )
 from hillfield.crashes.refusing import describe_refusal
@@ -16,6 +18,7 @@
 
 __all__ = (
     'ClearRow',
+    'Comparison',
     'CrashCodec',
     'CrashLedger',
     'EndRow',
@@ -24,6 +27,7 @@
     'Inquiry',
     'Likeness',
     'LostRuns',
+    'Message',
     'Run',
     'ServedRequests',
     'StoredEnds',
--- a/hillfield/crashes/ledger.py
+++ b/hillfield/crashes/ledger.py
@@ -43,10 +43,12 @@
         """Start without any."""
         self.cases: dict[bytes, Case] = {}
         self._sweep_at = float()
+        self._digests: tuple[int, ...] | None = None
 
     def take(self, now: float, told: Findings) -> set[bytes]:
         """Take in rows; return which requests are refused from now on."""
-        before = self._list_harmful(told.ends)
+        self._digests = None
+        before = _list_harmful(self, told.ends)
         for clear in told.clears:
             self._find(clear.fingerprint).clear(now - clear.ago)
         for row in told.ends:
@@ -54,10 +56,11 @@
         if now >= self._sweep_at or len(self.cases) > CASES_KEPT:
             self._sweep_at = now + SWEEP_EVERY
             self._forget(now)
-        return self._list_harmful(told.ends) - before
+        return _list_harmful(self, told.ends) - before
 
     def clear(self, moment: float, fingerprint: bytes) -> bool:
         """Note that a request is harmless; return whether that is news."""
+        self._digests = None
         case = self.cases.get(fingerprint)
         return case is not None and case.clear(moment)
 
@@ -91,17 +94,21 @@
 
     def list_digests(self) -> tuple[int, ...]:
         """Sum up each part."""
+        if self._digests is None:
+            self._digests = self._sum_up()
+        return self._digests
+
+    def find_root(self) -> int:
+        """Sum up all."""
+        return sum(self.list_digests()) % DIGESTS
+
+    def _sum_up(self) -> tuple[int, ...]:
         digests = dict.fromkeys(range(PARTS), 0)
         for fingerprint, case in self.cases.items():
             part = find_part(fingerprint)
             digests[part] = (digests[part] + case.hash()) % DIGESTS
         return tuple(digests.values())
 
-    def _list_harmful(self, rows: tuple[EndRow, ...]) -> set[bytes]:
-        return {
-            row.fingerprint for row in rows if self.is_harmful(row.fingerprint)
-        }
-
     def _find(self, fingerprint: bytes) -> Case:
         return self.cases.setdefault(fingerprint, Case(fingerprint))
 
@@ -122,6 +129,15 @@
                 self.cases.pop(least.fingerprint)
 
 
+def _list_harmful(
+    ledger: CrashLedger,
+    rows: tuple[EndRow, ...],
+) -> set[bytes]:
+    return {
+        row.fingerprint for row in rows if ledger.is_harmful(row.fingerprint)
+    }
+
+
 def find_part(fingerprint: bytes) -> int:
     """Return the part in which a request is compared."""
     return fingerprint[0] % PARTS
--- a/hillfield/crashes/messages.py
+++ b/hillfield/crashes/messages.py
@@ -39,7 +39,13 @@
 
 
 class Inquiry(Struct, frozen=True, array_like=True, tag='i'):
-    """Ask for what the sender doesn't know, by digests of what it holds.
+    """Ask whether the receiver holds the same, by a digest of all."""
+
+    root: int
+
+
+class Comparison(Struct, frozen=True, array_like=True, tag='c'):
+    """Ask for what the sender doesn't know, by digests of the parts.
 
     `answering`: it comes in answer to one, and is not answered by another.
     """
@@ -58,7 +64,10 @@
     ends: tuple[EndRow, ...]
 
 
-class CrashCodec(SealedCodec[Findings | Inquiry]):
+Message = Findings | Inquiry | Comparison
+
+
+class CrashCodec(SealedCodec[Message]):
     """Seal messages with the cluster's key, and open them.
 
     >>> codec = CrashCodec(b'key')
@@ -71,4 +80,4 @@
 
     def __init__(self, key: bytes) -> None:
         """Seal with this key."""
-        super().__init__(key, Findings | Inquiry)
+        super().__init__(key, Message)
--- a/hillfield/node/crashes.py
+++ b/hillfield/node/crashes.py
@@ -115,6 +115,14 @@
         own = core.own.record.name
         return [record for record in list_alive(core) if record.name != own]
 
+    def is_near(self, other: NodeRecord) -> bool:
+        """Tell whether a node is of this one's failure domain."""
+        core = self._core
+        if core is None:
+            return False
+        here = core.own.record.locality.failure_domain
+        return other.locality.failure_domain == here
+
     def _record(self, code: EventCode, detail: str) -> None:
         self._journal.record(Occurrence(code, detail=detail))
 
--- a/hillfield/node/crashnews.py
+++ b/hillfield/node/crashnews.py
@@ -10,7 +10,14 @@
 from typing import Final
 
 from hillfield.clocks import monotonic
-from hillfield.crashes import CrashCodec, Findings, Inquiry, split_rows
+from hillfield.crashes import (
+    Comparison,
+    CrashCodec,
+    Findings,
+    Inquiry,
+    Message,
+    split_rows,
+)
 from hillfield.model import Address
 from hillfield.node.crashes import CallerGuard, CrashBook, GateGuard
 from hillfield.node.datagrams import DatagramSocket
@@ -24,6 +31,9 @@
 # a node that missed the news of an end hears it from the first node it asks.
 LOOK_AGAIN: Final = 0.3
 ASK_EVERY: Final = 0.9
+# Share of the questions that go to the own failure domain: bytes to others are
+# dear, and what a whole domain missed has to come from another.
+NEAR_SHARE: Final = 0.75
 # Seconds after the start in which a node asks although it knows of nothing.
 JOINING: Final = 6.0
 
@@ -83,37 +93,40 @@
             self._ask()
 
     def _ask(self) -> None:
-        hosts = self._list_hosts()
-        if hosts:
-            question = Inquiry(self.book.ledger.list_digests())
-            self._send(question, [self._random.choice(hosts)])
+        others = self.book.list_others()
+        near = [other for other in others if self.book.is_near(other)]
+        if near and self._random.random() < NEAR_SHARE:
+            others = near
+        if others:
+            host = self._random.choice(others).link.ip
+            self._send(Inquiry(self.book.ledger.find_root()), [host])
 
     def _receive(self, datagram: bytes, ip: str) -> None:
+        ledger = self.book.ledger
         match self._codec.open(datagram):
             case Findings() as told:
                 self.book.take(monotonic(), told)
-            case Inquiry() as question:
-                self._answer(question, ip)
+            case Inquiry(root=root) if root != ledger.find_root():
+                self._send(Comparison(ledger.list_digests()), [ip])
+            case Comparison() as compared:
+                self._answer(compared, ip)
 
-    def _answer(self, question: Inquiry, ip: str) -> None:
+    def _answer(self, compared: Comparison, ip: str) -> None:
         """Tell the parts that differ, and ask back for them."""
         own = self.book.ledger.list_digests()
-        if own == question.digests:
-            return
+        pairs = zip(own, compared.digests, strict=False)
         differing = [
-            part
-            for part, (mine, theirs) in enumerate(zip(own, question.digests))
-            if mine != theirs
+            part for part, (mine, theirs) in enumerate(pairs) if mine != theirs
         ]
         told = self.book.ledger.tell(monotonic(), differing)
         packed = list(split_rows(told, ROWS_AT_ONCE))
         for findings in packed[:DATAGRAMS_AT_ONCE]:
             self._send(findings, [ip])
-        if not question.answering:
-            self._send(Inquiry(own, answering=True), [ip])
+        if differing and not compared.answering:
+            self._send(Comparison(own, answering=True), [ip])
 
     def _list_hosts(self) -> list[str]:
         return [record.link.ip for record in self.book.list_others()]
 
-    def _send(self, message: Findings | Inquiry, hosts: list[str]) -> None:
+    def _send(self, message: Message, hosts: list[str]) -> None:
         self.socket.send(self._codec.seal(message), hosts)
