--- a/hillfield/cli/nodes.py
+++ b/hillfield/cli/nodes.py
@@ -43,9 +43,10 @@
     address: Address,
     path: str,
     seconds: float = CALL_SECONDS,
+    method: str = 'GET',
 ) -> Result[Page, NodeCallError]:
-    """Get a path of a node's control address as a page of this type."""
-    fetched = await fetch_json(address, path, seconds)
+    """Call a path of a node's control address for a page of this type."""
+    fetched = await fetch_json(address, path, seconds, method)
     if fetched.is_error():
         return Error(fetched.error)
     try:
@@ -60,10 +61,12 @@
     address: Address,
     path: str,
     seconds: float = CALL_SECONDS,
+    method: str = 'GET',
 ) -> Result[Any, NodeCallError]:
-    """Get a path of a node's control address and decode its JSON."""
+    """Call a path of a node's control address and decode its JSON."""
     request = HTTPRequest(
         f'http://{address}{path}',
+        method,
         connect_timeout=seconds,
         request_timeout=seconds,
     )
--- a/hillfield/control/ports.py
+++ b/hillfield/control/ports.py
@@ -13,6 +13,7 @@
     Readiness,
     ServicePage,
 )
+from hillfield.control.refusedpages import RefusedRequest
 from hillfield.events import Timeline
 from hillfield.metrics import NodeMetrics
 from hillfield.model import Target
@@ -39,6 +40,12 @@
     def list_members(self) -> tuple[MemberPage, ...]:
         """Return the nodes of the fleet, this one among them."""
 
+    def list_refused(self) -> tuple[RefusedRequest, ...]:
+        """Return the requests under which targets have ended."""
+
+    def lift(self, text: str) -> bool:
+        """Let a request through again, by its fingerprint in hexadecimal."""
+
 
 class ControlPorts(Struct, frozen=True):
     """Hold the node's parts that the control server shows or feeds."""
--- a/hillfield/control/server.py
+++ b/hillfield/control/server.py
@@ -19,6 +19,7 @@
 from hillfield.control.origins import Origins
 from hillfield.control.plainserver import ignore_request
 from hillfield.control.ports import ControlPorts
+from hillfield.control.refused import LiftingHandler, RefusedHandler
 from hillfield.control.targets import TargetsHandler, WithdrawalHandler
 from hillfield.model import Address
 from hillfield.settings import NodeSettings
@@ -38,6 +39,8 @@
     ('/v1/explain/([^/]+)', ExplanationHandler),
     ('/v1/configuration', ConfigurationHandler),
     ('/v1/members', MembersHandler),
+    ('/v1/refused', RefusedHandler),
+    ('/v1/refused/([0-9a-f]+)', LiftingHandler),
 )
 
 
--- a/hillfield/control/tests/test_server.py
+++ b/hillfield/control/tests/test_server.py
@@ -52,6 +52,12 @@
     def read_readiness(self) -> Readiness:
         return Readiness(ready=False, reasons=('no configuration',))
 
+    def list_refused(self):
+        return ()
+
+    def lift(self, text):
+        return False
+
     def explain(self, service: str) -> ServicePage | None:
         if service != 'search':
             return None
--- a/hillfield/node/crashes.py
+++ b/hillfield/node/crashes.py
@@ -154,7 +154,7 @@
             return None
         return describe_refusal(
             fingerprint,
-            len(case.ends),
+            (gate for gate, _ in case.ends),
             case.find_wait(now),
             may_have_run=may_have_run,
         )
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -147,6 +147,7 @@
         self._reporting.join(fleet.state.core)
         self._quotas.join(fleet.state.core)
         self.crashes.book.join(fleet.state.core)
+        self.page.book = self.crashes.book
         relay = OpenRelay(
             fleet,
             self.parts.store,
--- a/hillfield/node/page.py
+++ b/hillfield/node/page.py
@@ -16,15 +16,17 @@
 from hillfield.model import Target
 from hillfield.node.explaining import make_service_page
 from hillfield.node.parts import Parts
+from hillfield.node.refused import RefusedView
 
 ROOT_FORMAT: Final = '016x'
 
 
-class NodePage:
+class NodePage(RefusedView):
     """Implement `NodeView` over a node's parts."""
 
     def __init__(self, parts: Parts) -> None:
         """Show a node that hasn't joined its fleet yet."""
+        super().__init__()
         self.leaving = False
         self.adopted_at = time()
         self._parts = parts
--- a/hillfield/platform/tests/test_refused_crashers.py
+++ b/hillfield/platform/tests/test_refused_crashers.py
@@ -8,6 +8,7 @@
 
 from pytest import mark
 
+from hillfield.cli.refused import ask_all, format_page
 from hillfield.platform.tests.crashers import (
     DEADLY,
     KNOWN_WITHIN,
@@ -169,8 +170,16 @@
         await asyncio.sleep(KNOWN_WITHIN)
         set_deadly(site, '/none')
         await site.settle(partial(is_back, site))
-        fingerprint = next(iter(read_cases(site.hosts[0])))
-        assert find_book(site.hosts[0]).clear(fingerprint, 'by hand')
+        host = site.hosts[0]
+        fingerprint = next(iter(read_cases(host))).hex()
+        shown = await call_control(host, '')
+        text = format_page(shown.ok)
+        assert f'{host.name}: 1 refused of 1 followed' in text
+        assert fingerprint in text
+        unknown = await call_control(host, 'ab')
+        assert 'fingerprint' in str(unknown.error)
+        lifted = await call_control(host, fingerprint)
+        assert not lifted.ok.requests
         await site.settle(partial(is_forgotten, site))
         answers = await find_refused(site)
         assert {answer.code for answer in answers} == {200}
@@ -178,6 +187,12 @@
     play_crashing(tmp_path, story)
 
 
+async def call_control(host, lift):
+    settings = host.node.parts.settings
+    answers = await ask_all((settings.listen.control,), lift)
+    return answers[0]
+
+
 def set_deadly(site, path):
     for host in site.hosts:
         host.target.deadly = path
