--- a/hillfield/crashes/cases.py
+++ b/hillfield/crashes/cases.py
@@ -31,6 +31,7 @@
     cleared: float = NEVER
     tried: float = NEVER
     settled: bool = True
+    _digest: int | None = None
 
     @property
     def last(self) -> float:
@@ -46,6 +47,7 @@
             return False
         if len(self.ends) >= ENDS_KEPT:
             return False
+        self._digest = None
         self.ends[name] = SeenEnd(ended - row.lasted, ended)
         if not self.harmful:
             self._judge()
@@ -53,6 +55,7 @@
 
     def clear(self, moment: float) -> bool:
         """Drop what ended until a moment; return whether anything was."""
+        self._digest = None
         self.cleared = max(self.cleared, moment)
         void = list(filter(self._is_void, self.ends))
         for name in void:
@@ -92,11 +95,9 @@
 
     def hash(self) -> int:
         """Return a digest on which nodes agree that decide alike."""
-        if self.harmful:
-            return xxh3_64_intdigest(self.fingerprint, HARMFUL)
-        names = sorted(f'{gate}/{number}' for gate, number in self.ends)
-        told = ' '.join((self.fingerprint.hex(), *names))
-        return xxh3_64_intdigest(told.encode())
+        if self._digest is None:
+            self._digest = _sum_up(self)
+        return self._digest
 
     def _judge(self) -> None:
         harmful = is_harmful(self.ends.values())
@@ -112,3 +113,11 @@
         ago = now - end.ended
         lasted = end.ended - end.began
         return EndRow(self.fingerprint, gate, number, ago, lasted)
+
+
+def _sum_up(case: Case) -> int:
+    if case.harmful:
+        return xxh3_64_intdigest(case.fingerprint, HARMFUL)
+    names = sorted(f'{gate}/{number}' for gate, number in case.ends)
+    told = ' '.join((case.fingerprint.hex(), *names))
+    return xxh3_64_intdigest(told.encode())
