--- a/hillfield/platform/tests/test_refused_crashers.py
+++ b/hillfield/platform/tests/test_refused_crashers.py
@@ -72,6 +72,21 @@
     play_crashing(tmp_path, story)
 
 
+def test_a_node_that_heard_no_news_hears_it_when_it_is_back(tmp_path):
+    async def story(site):
+        deaf = site.hosts[0].node.crashes.socket
+        await deaf.stop()
+        await Callers(site).end_three()
+        await asyncio.sleep(KNOWN_WITHIN)
+        deaf.start()
+        before = count_runs(site)
+        await asyncio.sleep(2 * KNOWN_WITHIN)
+        assert await is_refused_everywhere(site)
+        assert count_runs(site) == before
+
+    play_crashing(tmp_path, story)
+
+
 def test_it_is_refused_after_all_nodes_ended_at_one_moment(tmp_path):
     async def story(site):
         await Callers(site).end_three()
