--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -38,7 +38,8 @@
     `callers` and `hops` are the settings of the two servers, `checks` tell a
     wrong answer of the target, `reports` is where load reports come in
     (datagrams, the same port on all hosts), `quotas` where those of accounts'
-    requests do and `crashes` where those of requests that end targets do, `relay` how the store is followed,
+    requests do and `crashes` where those of requests that end targets do,
+    `relay` how the store is followed,
     `make_listeners` what else listens.
     """
 
