Begin what has come, and nothing later, as an emulated target closes

Cause: a closing target slept 5 ms and then cut all its connections. What had been written in the turn of the loop before the cut, or on a connection that waited to be accepted, was reset without having begun, so its caller was rightly told unknown while the check of what had begun was rightly red: always the call that was sent as target 6 closed. Ruled out: a request told unknown that had not been written. Now a connection is ended at a moment at which no byte on it is unread, what waits to be accepted is accepted first, and a target that refuses tells what waits for a slot that it has not run. Two tests failed before (none of 5 requests begun; one of those written while it closed lost).

--- a/hillfield/emulator/listener.py
+++ b/hillfield/emulator/listener.py
@@ -1,19 +1,19 @@
 """The listening side of an emulated target."""
 
-from asyncio import CancelledError, Task, create_task, current_task, sleep
+from asyncio import CancelledError, Task, create_task, current_task
 from collections.abc import Awaitable, Callable
 from socket import AF_INET, AF_INET6, SO_REUSEADDR, SOL_SOCKET, socket
 from typing import Any, Final
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
+from tornado.iostream import IOStream
 
+from hillfield.emulator.accepting import Accepting
 from hillfield.emulator.target_answers import cut, find_connection
 from hillfield.model import Address
 
 BACKLOG: Final = 512
-# From bytes that lie unread to a request that has begun: some turns of the loop.
-SECONDS_TO_BEGIN: Final = 0.005
 
 Serve = Callable[[HTTPServerRequest], Awaitable[None]]
 
@@ -27,6 +27,7 @@
         self._serve = serve
         self._holder: socket | None = None
         self._server: HTTPServer | None = None
+        self._accepting: Accepting | None = None
         self._serving: dict[Task[None], HTTPServerRequest] = {}
 
     @property
@@ -51,7 +52,7 @@
         self._holder = None
         listening.listen(BACKLOG)
         self._server = HTTPServer(self._accept)
-        self._server.add_sockets([listening])
+        self._accepting = Accepting(listening, self._server)
 
     async def refuse(self) -> None:
         """Close, and keep the port so that `open` finds it free."""
@@ -65,13 +66,13 @@
             self._holder.close()
             self._holder = None
         server = self._server
-        if server is None:
+        accepting = self._accepting
+        if server is None or accepting is None:
             return
         self._server = None
-        server.stop()
         # Requests whose bytes have come begin: their callers are told that
         # they may have run.
-        await sleep(SECONDS_TO_BEGIN)
+        await accepting.close(self._is_serving)
         for task, request in tuple(self._serving.items()):
             # The request that asked for closing goes on to its end.
             if task is not current_task():
@@ -95,6 +96,12 @@
         task.add_done_callback(self._forget)
         find_connection(request).set_close_callback(_Cancel(task))
 
+    def _is_serving(self, stream: IOStream) -> bool:
+        return any(
+            find_connection(request).stream is stream
+            for request in self._serving.values()
+        )
+
     def _forget(self, task: Task[None]) -> None:
         self._serving.pop(task, None)
 
--- a/hillfield/emulator/slots.py
+++ b/hillfield/emulator/slots.py
@@ -12,41 +12,47 @@
         self.count = count
         self.busy = 0
         self._limit = limit
-        self._waiting: deque[Future[None]] = deque()
+        self._waiting: deque[Future[bool]] = deque()
 
     @property
     def load(self) -> float:
         """Return the busy and waiting requests per slot."""
         return (self.busy + len(self._waiting)) / self.count
 
-    async def take(self) -> bool:
-        """Wait for a slot; False at once when the queue is full."""
+    async def take(self, *, waits: bool = True) -> bool:
+        """Wait for a slot; False when there is none to wait for."""
         if self.busy < self.count:
             self.busy += 1
             return True
-        if len(self._waiting) >= self._limit:
+        if not waits or len(self._waiting) >= self._limit:
             return False
-        turn: Future[None] = get_running_loop().create_future()
+        turn: Future[bool] = get_running_loop().create_future()
         self._waiting.append(turn)
         try:
-            await turn
+            return await turn
         except CancelledError:
             self._give_up(turn)
             raise
-        return True
 
     def free(self) -> None:
         """Hand the slot to the request that has waited longest."""
         while self._waiting:
             turn = self._waiting.popleft()
             if not turn.done():
-                turn.set_result(None)
+                turn.set_result(True)
                 return
         self.busy -= 1
 
-    def _give_up(self, turn: 'Future[None]') -> None:
+    def dismiss(self) -> None:
+        """Tell all that wait that they get no slot."""
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(False)
+
+    def _give_up(self, turn: 'Future[bool]') -> None:
         if turn in self._waiting:
             self._waiting.remove(turn)
-        elif not turn.cancelled():
+        elif not turn.cancelled() and turn.result():
             # The slot was handed over in the same step of the loop.
             self.free()
--- a/hillfield/emulator/target.py
+++ b/hillfield/emulator/target.py
@@ -103,6 +103,8 @@
 
     async def _follow_refusal(self) -> None:
         if self.mood.show().refuse:
+            # What has not begun will not, and can still be told so.
+            self.worker.slots.dismiss()
             await self.listener.refuse()
         else:
             self.listener.open()
--- a/hillfield/emulator/work.py
+++ b/hillfield/emulator/work.py
@@ -70,7 +70,7 @@
             await Event().wait()
         if self._mood.behaviour.state is TargetState.SHEDDING:
             await send_shed(request)
-        elif await self.slots.take():
+        elif await self.slots.take(waits=not self._mood.show().refuse):
             async with _Held(self.slots):
                 await self._run(request, arrived)
         else:
