Show operators how short a service is, and where

Cause: an on-call engineer could see a node's queue and its targets' shares, not the room that gates have told: who is short, in which failure domain, from how old a view. `hillfield load` sums the reports that a node holds by service and failure domain (slots, free, waiting, held back, age of the oldest), beside what waits here and what was refused; /v1/load gives the same as JSON. Nothing is asked of other nodes for it and nothing is added to the request path. Ruled out: a method of its own on the dispatcher (the explanation carries the rooms).

--- a/hillfield/cli/application.py
+++ b/hillfield/cli/application.py
@@ -24,6 +24,7 @@
         'node': Place('hillfield.cli.node', 'start_node'),
         'targets': Place('hillfield.cli.targets', 'show_targets'),
         'explain': Place('hillfield.cli.explain', 'explain_service'),
+        'load': Place('hillfield.cli.load', 'show_load'),
         'refused': Place('hillfield.cli.refused', 'show_refused'),
         'timeline': Place('hillfield.cli.timeline', 'show_timeline'),
         'trace': Place('hillfield.cli.trace', 'trace_request'),
--- a/hillfield/cli/tests/test_inquiries.py
+++ b/hillfield/cli/tests/test_inquiries.py
@@ -15,6 +15,7 @@
 from typer.testing import CliRunner
 
 from hillfield.cli.explain import explain_service
+from hillfield.cli.load import show_load
 from hillfield.cli.settings import commands
 from hillfield.cli.targets import show_targets
 from hillfield.cli.timeline import show_timeline
@@ -28,10 +29,12 @@
     TargetReport,
     TargetsPage,
 )
+from hillfield.control.loadpages import DomainLoad, LoadPage, ServiceLoad
 from hillfield.events import Stamp, TimelineEntry
 
 APPLICATION = Typer()
 APPLICATION.command('explain')(explain_service)
+APPLICATION.command('load')(show_load)
 APPLICATION.command('targets')(show_targets)
 APPLICATION.command('timeline')(show_timeline)
 APPLICATION.add_typer(commands, name='settings')
@@ -197,3 +200,19 @@
     page = decode(shown.stdout)
     assert page['accepted'] is False
     assert 'name' in {problem['field'] for problem in page['problems']}
+
+
+def test_load_shows_each_failure_domain_of_a_service():
+    domain = DomainLoad('a', 2, 8, 1, 3, 1, 0.5)
+    load = ServiceLoad('search', 4, 7, 90, 2, 1, 0, 3, (domain,))
+    with serve({'/v1/load': LoadPage('n1', (load,))}) as node:
+        shown = call('load', '--node', node)
+    assert shown.exit_code == 0
+    assert '4 wait here, 7 at targets, 2 of 90 refused' in shown.output
+    assert '3 targets have told nothing' in shown.output
+
+
+def test_load_of_a_node_that_nobody_asks():
+    with serve({'/v1/load': LoadPage('n1', ())}) as node:
+        shown = call('load', '--node', node)
+    assert 'no service has been asked for' in shown.output
--- a/hillfield/control/ports.py
+++ b/hillfield/control/ports.py
@@ -7,6 +7,7 @@
 
 from hillfield.clocks import monotonic, read_wall
 from hillfield.announcements import TargetRegistry
+from hillfield.control.loadpages import ServiceLoad
 from hillfield.control.pages import (
     ConfigurationPage,
     MemberPage,
@@ -40,6 +41,9 @@
     def list_members(self) -> tuple[MemberPage, ...]:
         """Return the nodes of the fleet, this one among them."""
 
+    def list_loads(self) -> tuple[ServiceLoad, ...]:
+        """Return what is known of the room of each service asked for."""
+
     def list_refused(self) -> tuple[RefusedRequest, ...]:
         """Return the requests under which targets have ended."""
 
--- a/hillfield/control/server.py
+++ b/hillfield/control/server.py
@@ -16,6 +16,7 @@
     ReadinessHandler,
     TimelineHandler,
 )
+from hillfield.control.load import LoadHandler
 from hillfield.control.origins import Origins
 from hillfield.control.plainserver import ignore_request
 from hillfield.control.ports import ControlPorts
@@ -39,6 +40,7 @@
     ('/v1/explain/([^/]+)', ExplanationHandler),
     ('/v1/configuration', ConfigurationHandler),
     ('/v1/members', MembersHandler),
+    ('/v1/load', LoadHandler),
     ('/v1/refused', RefusedHandler),
     ('/v1/refused/([0-9a-f]+)', LiftingHandler),
 )
--- a/hillfield/control/tests/test_server.py
+++ b/hillfield/control/tests/test_server.py
@@ -52,6 +52,9 @@
     def read_readiness(self) -> Readiness:
         return Readiness(ready=False, reasons=('no configuration',))
 
+    def list_loads(self):
+        return ()
+
     def list_refused(self):
         return ()
 
@@ -293,3 +296,8 @@
     places.clear()
     assert running.call('/healthz')[0] == 200
     assert not places
+
+
+def test_a_node_that_nobody_asks_shows_no_load(running):
+    status, page = running.call('/v1/load')
+    assert (status, page['services']) == (200, [])
--- a/hillfield/node/page.py
+++ b/hillfield/node/page.py
@@ -11,10 +11,12 @@
     Readiness,
     ServicePage,
 )
+from hillfield.control.loadpages import ServiceLoad
 from hillfield.fleet import Fleet, NodeRecord, waiting_for
 from hillfield.fleet.core import Core
 from hillfield.model import Target
 from hillfield.node.explaining import make_service_page
+from hillfield.node.loadview import list_loads
 from hillfield.node.parts import Parts
 from hillfield.node.refused import RefusedView
 
@@ -85,6 +87,10 @@
         announced = self.core.view.services
         return tuple(sorted({*configured, *announced}))
 
+    def list_loads(self) -> tuple[ServiceLoad, ...]:
+        """Return what is known of the room of each service asked for."""
+        return list_loads(self._parts.table)
+
     def list_targets(self) -> tuple[Target, ...]:
         """Return all targets of the fleet that are known here."""
         return self.core.view.targets()
--- a/hillfield/routing/explanations.py
+++ b/hillfield/routing/explanations.py
@@ -4,6 +4,7 @@
 
 from hillfield.detection.explanations import TargetExplanation
 from hillfield.routing.loads import TargetLoad
+from hillfield.routing.roomviews import RoomExplanation, explain_rooms
 from hillfield.routing.service import Service
 
 
@@ -37,6 +38,7 @@
     strays: int
     loads: tuple[LoadExplanation, ...]
     health: tuple[TargetExplanation, ...]
+    rooms: tuple[RoomExplanation, ...] = ()
 
 
 def explain_service(service: Service, now: float) -> RoutingExplanation:
@@ -59,6 +61,7 @@
         strays=service.ledger.strays,
         loads=tuple(map(_explain_load, service.selector.loads.values())),
         health=service.board.explain(now),
+        rooms=explain_rooms(service, now),
     )
 
 
--- /dev/null
+++ b/hillfield/routing/roomviews.py
@@ -0,0 +1,51 @@
+"""What operators are shown of a service's room, as one node knows it."""
+
+from msgspec import Struct
+
+from hillfield.routing.loads import TargetLoad
+from hillfield.routing.rooms import Room
+from hillfield.routing.service import Service
+
+
+class RoomExplanation(Struct, frozen=True):
+    """Show one target's room; `age` is seconds since its gate told it.
+
+    `free` and `waiting` count slots and requests at its gate, `held` names the
+    work that the gate holds back, `in_flight` counts this node's requests.
+    """
+
+    target: str
+    domain: str
+    slots: int
+    in_flight: int
+    free: int
+    waiting: int
+    held: str
+    age: float
+
+
+def explain_rooms(service: Service, now: float) -> tuple[RoomExplanation, ...]:
+    """Return the room of each target whose gate has told of it."""
+    service.selector.adopt(service.board.rotation())
+    service.rooms.are_known(now)
+    known = (
+        (load, service.rooms.find(target))
+        for target, load in service.selector.loads.items()
+    )
+    return tuple(
+        _explain(now, load, room) for load, room in known if room is not None
+    )
+
+
+def _explain(now: float, load: TargetLoad, room: Room) -> RoomExplanation:
+    target = load.target
+    return RoomExplanation(
+        str(target.id),
+        target.locality.failure_domain,
+        target.slots,
+        load.in_flight,
+        max(0, room.free),
+        room.waiting,
+        room.held.name.lower(),
+        max(0, now - room.told),
+    )
