Run nothing that lies unread on a connection that has ended

A connection that was reset behind a broken answer, or whose caller had left during a request, went on to read the next request from the bytes it had already taken in: tornado gives them out although the stream is closed. That request was planned and admitted, and could reach a target, while its caller counts it as not read and asks for it anew, so work that runs once could run twice. Found by a generated story of pipelined requests; ruled out that the close is noticed otherwise: a closed stream calls no callback. The new test fails without the change (two requests planned in place of one).

--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -103,8 +103,9 @@
         self.reading_head = True
         head = await super().read_until_regex(regex, max_bytes)
         self.reading_head = False
-        if self.lingering:
-            # A refusal has been told meanwhile: what comes after does not run.
+        if self.lingering or self.closed():
+            # No answer could follow: what has come already must not run, its
+            # caller asks for it again.
             raise StreamClosedError
         failure = screen_head(head, self.settings)
         if failure is None:
--- a/hillfield/proxy/tests/test_faults.py
+++ b/hillfield/proxy/tests/test_faults.py
@@ -375,3 +375,17 @@
     path.dispatching.failing = ''
     path.plans.failing = ''
     assert (await path.ask(GET))[1] == b'ok'
+
+
+async def test_what_came_before_the_end_does_not_run_after_it(path):
+    """A caller asks anew for what lay unread behind a broken answer."""
+    broken = b'HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n' + bytes(99999)
+    await path.start(cut_after(broken))
+    reader, writer = await path.open()
+    writer.write(POST + POST)
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        await path.read(reader)
+    while path.server.count_connections():
+        await asyncio.sleep(0)
+    assert len(path.plans.heads) == 1
+    writer.close()
