Run reads of one connection side by side, answered in their order

Callers that send further reads before the first is answered waited for the work of all of them: the second of three series reads began 0.7 s after it was sent, the third 1.4 s. What runs once, bodies, upgrades and requests that close wait for the answers before them. Refusals keep their place, drain answers what was read, an answer that breaks off in its turn ends the connection without a reset, which would take back the answers before it. Ruled out: asking tornado to serve two requests of a stream at once; its part in a read ends with the request's last byte instead.

--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -131,6 +131,8 @@
             self._boot.hops,
             idle_timeout=2 * HOP_IDLE_SECONDS,
             sign_after=SIGN_AFTER,
+            # Nodes send one request at a time on a connection.
+            pipeline_depth=1,
             callers=HOPS,
             targets=TargetHeaders(self.find_seat),
         )
--- a/hillfield/proxy/callers.py
+++ b/hillfield/proxy/callers.py
@@ -1,7 +1,7 @@
-"""Connection of a caller: one request after another."""
+"""Connection of a caller: its requests in their order."""
 
 import socket
-from asyncio import get_running_loop, sleep
+from asyncio import sleep
 from typing import Final
 
 from tornado.http1connection import (
@@ -14,9 +14,12 @@
 from hillfield.proxy.answers import render_whole
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.failures import Fault, describe_stray
+from hillfield.proxy.ordering import AnswerOrder
 from hillfield.proxy.replies import Reply
 from hillfield.proxy.requests import IncomingRequest
 from hillfield.proxy.streams import CallerStream
+from hillfield.proxy.timeouts import CallerTimeouts
+from hillfield.proxy.turns import LastTurn, Turn
 
 _LARGEST_BODY: Final = 1_000_000_000_000
 
@@ -33,12 +36,12 @@
             max_header_size=context.settings.head_limit,
             max_body_size=_LARGEST_BODY,
         )
+        self._order = AnswerOrder(
+            context.settings.pipeline_depth,
+            context.settings.held_answer,
+        )
+        self._timeouts = CallerTimeouts(self.stream, context, self._order)
         self._incoming: IncomingRequest | None = None
-        self._waiting_since = float()
-        self._received_before = 0
-        self._head_since: float | None = None
-        self._writing_since = get_running_loop().time()
-        self._written_before = 0
 
     async def serve(self) -> None:
         """Serve until either side ends the connection."""
@@ -50,6 +53,7 @@
             self._context.record_failure(describe_stray(error))
         finally:
             self.stream.abandon()
+            self._order.leave()
 
     async def refuse_connection(self) -> None:
         """Answer without reading: the node has its limit of connections."""
@@ -70,65 +74,58 @@
         self._context.record_failure(failure)
         return b'' if told is None else render_whole(told)
 
+    def defer(self, answer: bytes) -> bool:
+        """Hold the last answer back while others come before it."""
+        told = self._incoming is not None and self._incoming.reply.turn.come
+        if told or not self._order.is_busy():
+            return False
+        last = LastTurn(self.stream, answer)
+        self._order.join(last, self.stream.abandon)
+        return True
+
     def close_after_answer(self) -> None:
-        """Let the present request be the last one."""
-        if self._incoming is not None:
-            self._incoming.reply.closing = True
+        """Let the last request that was read be the last one."""
+        if self._order.close_after_last():
+            self.stream.ending = True
+        elif self._incoming is not None:
+            self._incoming.reply.turn.closing = True
 
     def is_idle(self) -> bool:
-        """Tell whether no byte of a next request has come."""
-        stream = self.stream
-        waiting = stream.reading_head and not stream.lingering
-        if stream.writing():
-            return False
-        return waiting and stream.received == self._received_before
+        """Tell whether nothing is asked, and no byte of a request has come."""
+        return self._timeouts.is_idle()
 
     def sweep(self, now: float) -> None:
-        """End the connection if a head is late; `now` is loop seconds."""
-        stream = self.stream
-        settings = self._context.settings
-        if stream.writing():
-            self._sweep_writing(now)
-            return
-        self._writing_since = now
-        if not stream.reading_head or stream.lingering:
-            return
-        if self.is_idle():
-            if now - self._waiting_since > settings.idle_timeout:
-                stream.close()
-        elif self._head_since is None:
-            # It may be whole already, and be read in the next turn.
-            self._head_since = now
-        elif now - self._head_since > settings.head_timeout:
-            stream.refuse(Fault.SLOW_REQUEST.failure('the head did not come'))
-
-    def _sweep_writing(self, now: float) -> None:
-        """End a connection whose caller has long stopped reading."""
-        stream = self.stream
-        if stream.written != self._written_before:
-            self._written_before = stream.written
-            self._writing_since = now
-        elif now - self._writing_since > self._context.settings.idle_timeout:
-            stream.reset()
+        """End the connection if it is late; `now` is loop seconds."""
+        self._timeouts.sweep(now)
 
     async def _serve(self) -> None:
         serving = True
         while serving:
-            if self.stream.writing():
-                # Pipelined requests must not pile up answers.
-                await self.stream.write(b'')
-            elif self.stream.unread:
-                await sleep(0)
+            await self._wait_for_room()
             connection = HTTP1Connection(
                 self.stream,
                 is_client=False,
                 params=self._tuning,
             )
-            dialect = self._context.settings.callers
-            reply = Reply(connection, self.stream, dialect)
+            reply = Reply(
+                connection,
+                self.stream,
+                self._context.settings.callers,
+                Turn(self.stream, self._order),
+            )
             self._incoming = IncomingRequest(self._context, reply)
-            self._waiting_since = get_running_loop().time()
-            self._head_since = None
-            self._received_before = self.stream.received - self.stream.unread
+            self._timeouts.expect_head()
             serving = await connection.read_response(self._incoming)
         await self.stream.drain()
+
+    async def _wait_for_room(self) -> None:
+        """Let pipelined requests pile up neither work nor answers."""
+        stream = self.stream
+        stream.set_close_callback(self._order.wake)
+        while not (self._order.has_room() or stream.closed()):
+            await self._order.wait()
+        stream.set_close_callback(None)
+        if stream.writing():
+            await stream.write(b'')
+        elif stream.unread:
+            await sleep(0)
--- /dev/null
+++ b/hillfield/proxy/planning.py
@@ -0,0 +1,97 @@
+"""What is planned for a request once its head has come."""
+
+from expression import Error, Ok, Result
+from msgspec import Struct
+from msgspec.structs import replace
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from hillfield.clocks import monotonic
+from hillfield.model import RequestFailure, RequestPlan
+from hillfield.proxy.bodies import RequestBody
+from hillfield.proxy.context import ProxyContext
+from hillfield.proxy.failures import Fault
+from hillfield.proxy.heads import (
+    Passage,
+    read_deadline,
+    read_path,
+    read_request_head,
+    read_request_id,
+)
+from hillfield.proxy.identifiers import find_request_id
+from hillfield.proxy.orders import Order, has_body
+
+
+class Naming(Struct, frozen=True):
+    """Hold the id that others see, and the one that only this node uses."""
+
+    request: str
+    key: str
+
+
+def plan_order(
+    context: ProxyContext,
+    start_line: RequestStartLine,
+    headers: HTTPHeaders,
+    body: RequestBody,
+    naming: Naming,
+) -> Result[Order, RequestFailure]:
+    """Return what each attempt sends, or the failure to answer with."""
+    dialect = context.settings.callers
+    head = read_request_head(start_line, headers, dialect.key_scheme)
+    resolved = context.plans.resolve(head)
+    if resolved.is_error():
+        return Error(resolved.error)
+    plan: RequestPlan = resolved.ok
+    deadline = read_deadline(headers.get(dialect.deadline), plan.deadline)
+    if deadline is None:
+        return Error(
+            Fault.MALFORMED.failure(f'{dialect.deadline} is not milliseconds'),
+        )
+    if deadline <= 0:
+        return Error(Fault.DEADLINE_NOT_RUN.failure('deadline of 0'))
+    return Ok(
+        Order(
+            start_line._replace(path=read_path(start_line.path)),
+            headers,
+            body,
+            plan,
+            Passage(
+                naming.request,
+                naming.key,
+                context.settings.node,
+                dialect.removed,
+                dialect.key_scheme,
+            ),
+            monotonic() + deadline,
+        ),
+    )
+
+
+def name_request(headers: HTTPHeaders, context: ProxyContext) -> Naming:
+    """Return the ids of a request; the node's own is not in flight."""
+    key = find_request_id(headers, context.takers)
+    if context.settings.callers.keeps_ids:
+        return Naming(read_request_id(headers) or key, key)
+    return Naming(key, key)
+
+
+def rename_order(order: Order, context: ProxyContext) -> Order:
+    """Return the order of a request that has waited, under a free id."""
+    naming = name_request(order.headers, context)
+    passage = replace(order.passage, request=naming.request, key=naming.key)
+    return replace(order, passage=passage)
+
+
+def runs_beside(order: Order | None, headers: HTTPHeaders) -> bool:
+    """Tell whether a request may run beside those read before it.
+
+    What may run once could neither be stopped nor asked for again if the
+    connection ended behind an answer before its own. Without an aim nobody
+    waits for a time. A body would be read while other answers are written.
+    A request that is refused (no order) has nothing to run.
+    """
+    if 'Upgrade' in headers or 'Expect' in headers or has_body(headers):
+        return False
+    if order is None:
+        return True
+    return order.plan.idempotent and order.plan.aim > 0
--- a/hillfield/proxy/relays.py
+++ b/hillfield/proxy/relays.py
@@ -39,8 +39,9 @@
             self._reply.end()
             return
         self._count(Outcome.UNKNOWN)
-        self._record(Fault.INTERRUPTED.failure('the answer ended early'))
-        self._reply.abort()
+        failure = Fault.INTERRUPTED.failure('the answer ended early')
+        self._record(failure)
+        self._tell(failure)
 
     def send(self, attempt: Attempt) -> None:
         """Relay an answer that is held whole."""
@@ -55,10 +56,7 @@
         """Answer with a failure, or cut an answer that has begun."""
         self._record(failure)
         self._count(failure.outcome)
-        if self._reply.begun:
-            self._reply.abort()
-        else:
-            self._reply.fail(failure, self._order.passage.request)
+        self._tell(failure)
 
     def rescue(self, failure: RequestFailure) -> None:
         """Answer after an error that came when all had been settled."""
@@ -77,6 +75,10 @@
             ),
         )
 
+    def _tell(self, failure: RequestFailure) -> None:
+        if not self._reply.begun or self._reply.abort():
+            self._reply.fail(failure, self._order.passage.request)
+
     def _count(self, outcome: Outcome) -> None:
         self._context.meter.note_request(self._order.plan.service, outcome)
 
--- a/hillfield/proxy/replies.py
+++ b/hillfield/proxy/replies.py
@@ -2,6 +2,7 @@
 
 from asyncio import Future
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from tornado.http1connection import HTTP1Connection
@@ -10,24 +11,24 @@
 from hillfield.model import RequestFailure
 from hillfield.proxy.answers import list_fields, render_body, render_start
 from hillfield.proxy.dialects import CallerDialect
-from hillfield.proxy.fields import Fields, render_status
+from hillfield.proxy.fields import Fields
 from hillfield.proxy.heads import Passage, pass_answer
 from hillfield.proxy.incoming import IncomingAnswer
 from hillfield.proxy.streams import CallerStream
+from hillfield.proxy.turns import Turn
+from hillfield.proxy.writing import AnswerWriter
 
 _LENGTH: Final = 'Content-Length'
 _NO_CONTENT: Final = 204
 _BODILESS: Final = frozenset((_NO_CONTENT, 304))
-_LAST_CHUNK: Final = b'0\r\n\r\n'
 _SIGN: Final = b'HTTP/1.1 102 Processing\r\n\r\n'
 
 
 class Reply:
-    """Write one answer, whole or visibly not whole.
+    """Answer one request in its turn, whole or visibly not whole.
 
-    `closing` ends the connection after the answer, `request_read` tells
-    that the request has been read to its end, `chunks` that the caller
-    understands chunked bodies.
+    `begun` tells that a part of the answer has been given, `chunks` that the
+    caller understands chunked bodies.
     """
 
     def __init__(
@@ -35,17 +36,17 @@
         connection: HTTP1Connection,
         stream: CallerStream,
         dialect: CallerDialect,
+        turn: Turn,
     ) -> None:
         """Prepare the answer to the request that comes next."""
         self.connection = connection
+        self.turn = turn
+        self.writer = AnswerWriter(connection, stream, turn)
         self.begun = False
-        self.closing = False
-        self.request_read = False
         self.method = ''
         self.chunks = True
         self._stream = stream
         self._dialect = dialect
-        self._chunked = False
 
     def adapt(
         self,
@@ -56,11 +57,11 @@
         """Learn from a request's head how its answer is to be written."""
         self.method = start_line.method
         asked = headers.get('Connection', '').lower()
-        self.closing = draining or 'close' in asked
+        self.turn.closing = draining or 'close' in asked
         if start_line.version == 'HTTP/1.0':
             # Only the connection's end tells an old caller where an answer
             # of unknown length ends.
-            self.closing = True
+            self.turn.closing = True
             self.chunks = False
             headers.pop('Connection', None)
 
@@ -73,7 +74,7 @@
             len(body),
             fractional=self._dialect.fractional,
         )
-        self._write_whole(render_start(failure.status), fields, body)
+        self._answer(render_start(failure.status), fields, body)
 
     def send_whole(self, answer: IncomingAnswer, passage: Passage) -> None:
         """Relay an answer that is held whole."""
@@ -83,7 +84,7 @@
             _keep_length(fields, answer)
         else:
             fields.add(_LENGTH, str(len(body)))
-        self._write_whole(answer.start_line, fields, body)
+        self._answer(answer.start_line, fields, body)
 
     def begin(
         self,
@@ -97,17 +98,19 @@
         answer.held.clear()
         bodiless = answer.start_line.code in _BODILESS or self.method == 'HEAD'
         framed = bodiless or answer.has_length()
-        self._chunked = self.chunks and not framed
-        self._begin(fields)
-        return self.connection.write_headers(
-            answer.start_line,
-            fields.to_headers(),
-            part,
+        self.writer.chunked = self.chunks and not framed
+        self.begun = True
+        return self.turn.put(
+            partial(self.writer.write_head, answer.start_line, fields, part),
+            len(part),
         )
 
     def send_sign(self) -> None:
-        """Write an interim answer, unless the answer has begun."""
-        if not (self.begun or self._stream.closed()):
+        """Write an interim answer, unless the answer has begun.
+
+        Before its turn it would be taken for another answer's.
+        """
+        if self.turn.come and not (self.begun or self._stream.closed()):
             self._stream.write(_SIGN)
 
     def watch(self, callback: Callable[[], None]) -> None:
@@ -116,40 +119,37 @@
 
     def write_part(self, part: bytes) -> 'Future[None]':
         """Relay a part; the future bounds what is buffered."""
-        return self.connection.write(part)
+        return self.turn.put(partial(self.connection.write, part), len(part))
 
     def end(self) -> None:
         """End a whole answer."""
-        if self.request_read and not self.closing:
-            self.connection.finish()
-            return
-        # The connection ends here; an unread rest of the request must not
-        # reset it before the caller has the answer.
-        if not self._stream.closed():
-            last = _LAST_CHUNK if self._chunked else b''
-            self._stream.linger(self._stream.write(last))
-
-    def abort(self) -> None:
-        """End the connection so that the answer doesn't look whole."""
-        self._stream.reset()
-
-    def _begin(self, fields: Fields) -> None:
-        self.begun = True
-        if self.closing or not self.request_read:
-            fields.add('Connection', 'close')
+        self.turn.run(self.writer.end)
+
+    def abort(self) -> bool:
+        """Give up a begun answer so that it doesn't look whole.
+
+        Tell whether another can be given: nothing of it was written yet.
+        """
+        if self.turn.come:
+            self.writer.cut()
+            return False
+        self.turn.drop()
+        self.writer.chunked = False
+        self.begun = False
+        return True
 
-    def _write_whole(
+    def _answer(
         self,
         start_line: ResponseStartLine,
         fields: Fields,
         body: bytes,
     ) -> None:
-        self._begin(fields)
-        if self._stream.closed():
-            return
-        head = fields.render(render_status(start_line))
-        self._stream.write(head if self.method == 'HEAD' else head + body)
-        self.end()
+        self.begun = True
+        sent = b'' if self.method == 'HEAD' else body
+        self.turn.run(
+            partial(self.writer.write_whole, start_line, fields, sent),
+            len(sent),
+        )
 
 
 def _keep_length(fields: Fields, answer: IncomingAnswer) -> None:
--- a/hillfield/proxy/requests.py
+++ b/hillfield/proxy/requests.py
@@ -1,9 +1,9 @@
 """Request of a caller as it comes in."""
 
 from asyncio import Future
+from collections.abc import Awaitable
 from functools import partial
 
-from expression import Error, Ok, Result
 from msgspec.structs import replace
 from tornado.httputil import (
     HTTPHeaders,
@@ -13,21 +13,19 @@
 )
 
 from hillfield.clocks import monotonic
-from hillfield.model import Outcome, RequestFailure, RequestPlan
+from hillfield.model import Outcome, RequestFailure
 from hillfield.proxy.bodies import RequestBody
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.exchanges import Exchange
 from hillfield.proxy.failures import Fault, describe_stray
 from hillfield.proxy.guards import run_guarded
-from hillfield.proxy.heads import (
-    Passage,
-    read_deadline,
-    read_path,
-    read_request_head,
-    read_request_id,
-)
-from hillfield.proxy.identifiers import find_request_id
 from hillfield.proxy.orders import Order, has_body, needs_length
+from hillfield.proxy.planning import (
+    name_request,
+    plan_order,
+    rename_order,
+    runs_beside,
+)
 from hillfield.proxy.replies import Reply
 
 
@@ -38,9 +36,8 @@
         """Wait for the head."""
         self.reply = reply
         self._context = context
-        self._body = RequestBody(context.settings.held_body)
         self._request = ''
-        self._key = ''
+        self._body = RequestBody(context.settings.held_body)
         self._refusal: RequestFailure | None = None
         self._order: Order | None = None
         self._exchange: Exchange | None = None
@@ -49,19 +46,26 @@
         self,
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
-    ) -> None:
-        """Take in the head; refuse at once what can't be planned."""
+    ) -> Awaitable[None] | None:
+        """Take in the head; refuse at once what can't be planned.
+
+        What may not run beside the requests before it waits for its turn.
+        """
         if not isinstance(start_line, RequestStartLine):
-            return
+            return None
         self.reply.adapt(start_line, headers, self._context.draining)
-        self._key = find_request_id(headers, self._context.takers)
-        self._request = self._key
-        if self._context.settings.callers.keeps_ids:
-            self._request = read_request_id(headers) or self._key
         run_guarded(
             partial(self._take_head, start_line, headers),
             self._fail_stray,
         )
+        turn = self.reply.turn
+        turn.join(self.on_connection_close)
+        if self._context.settings.pipeline_depth > 1 and not turn.closing:
+            self.reply.writer.early = runs_beside(self._order, headers)
+        if turn.come or self.reply.writer.early:
+            run_guarded(partial(self._begin, headers), self._fail_stray)
+            return None
+        return self._begin_in_turn(headers)
 
     def data_received(self, chunk: bytes) -> 'Future[None] | None':
         """Take in a part of the body; the future slows the caller down."""
@@ -71,7 +75,11 @@
             self._body.discard()
             return None
         if self._body.size > self._context.settings.body_limit:
-            self._fail(Fault.BODY_TOO_LARGE, 'the body is over the limit')
+            _fail_reading(
+                exchange,
+                Fault.BODY_TOO_LARGE,
+                'the body is over the limit',
+            )
         elif taken is not None and not exchange.started:
             self._start_streaming(self._order, exchange)
         return taken
@@ -79,8 +87,8 @@
     def finish(self) -> None:
         """Take in the end of the request."""
         self._body.end()
-        self.reply.request_read = True
         self.reply.connection.set_close_callback(self.on_connection_close)
+        self.reply.writer.note_read()
         exchange = self._exchange
         if self._refusal is not None:
             self._refuse(self._refusal)
@@ -90,6 +98,7 @@
     def on_connection_close(self) -> None:
         """Cancel: the caller has gone."""
         self._body.discard()
+        self.reply.turn.drop()
         if self._exchange is not None:
             self._exchange.leave()
 
@@ -114,16 +123,44 @@
         start_line: RequestStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        planned = self._plan(start_line, headers)
+        naming = name_request(headers, self._context)
+        self._request = naming.request
+        planned = plan_order(
+            self._context,
+            start_line,
+            headers,
+            self._body,
+            naming,
+        )
         if planned.is_ok():
             self._order = planned.ok
-            self._exchange = Exchange(self._context, planned.ok, self.reply)
-            return
-        self._refusal = planned.error
-        if has_body(headers):
+        else:
+            self._refusal = planned.error
+
+    def _begin(self, headers: HTTPHeaders) -> None:
+        order = self._order
+        if order is not None:
+            self._exchange = Exchange(self._context, order, self.reply)
+        elif self._refusal is not None and has_body(headers):
             # tornado must not ask for a body after the answer.
             headers.pop('Expect', None)
-            self._refuse(planned.error)
+            self._refuse(self._refusal)
+
+    async def _begin_in_turn(self, headers: HTTPHeaders) -> None:
+        came = await self.reply.turn.wait()
+        late = self._order is not None and self._order.expires <= monotonic()
+        if late or not came:
+            self._order = None
+        elif self._order is not None:
+            # Its id may have been taken while it waited.
+            self._order = rename_order(self._order, self._context)
+        if not came:
+            self._refusal = None
+        elif late:
+            self._refusal = Fault.DEADLINE_NOT_RUN.failure(
+                'the requests before it took too long',
+            )
+        run_guarded(partial(self._begin, headers), self._fail_stray)
 
     def _fail_stray(self, error: Exception) -> None:
         if self._exchange is None:
@@ -132,62 +169,26 @@
         else:
             self._exchange.note_stray(error)
 
-    def _plan(
-        self,
-        start_line: RequestStartLine,
-        headers: HTTPHeaders,
-    ) -> Result[Order, RequestFailure]:
-        dialect = self._context.settings.callers
-        head = read_request_head(start_line, headers, dialect.key_scheme)
-        resolved = self._context.plans.resolve(head)
-        if resolved.is_error():
-            return Error(resolved.error)
-        plan: RequestPlan = resolved.ok
-        given = headers.get(dialect.deadline)
-        deadline = read_deadline(given, plan.deadline)
-        if deadline is None:
-            return Error(
-                Fault.MALFORMED.failure(
-                    f'{dialect.deadline} is not milliseconds',
-                ),
-            )
-        if deadline <= 0:
-            return Error(Fault.DEADLINE_NOT_RUN.failure('deadline of 0'))
-        return Ok(
-            Order(
-                start_line._replace(path=read_path(start_line.path)),
-                headers,
-                self._body,
-                plan,
-                Passage(
-                    self._request,
-                    self._key,
-                    self._context.settings.node,
-                    dialect.removed,
-                    dialect.key_scheme,
-                ),
-                monotonic() + deadline,
-            ),
-        )
-
     def _start_streaming(self, order: Order, exchange: Exchange) -> None:
         if needs_length(order):
-            self._fail(Fault.LENGTH_REQUIRED, 'give a Content-Length')
+            _fail_reading(
+                exchange,
+                Fault.LENGTH_REQUIRED,
+                'give a Content-Length',
+            )
             return
         self.reply.watch(self.on_connection_close)
         run_guarded(partial(exchange.start, False), self._fail_stray)
 
-    def _fail(self, fault: Fault, detail: str) -> None:
-        failure = fault.failure(detail)
-        exchange = self._exchange
-        if exchange is None:
-            return
-        if exchange.started:
-            failure = replace(failure, outcome=Outcome.UNKNOWN)
-        exchange.fail(failure)
-
     def _refuse(self, failure: RequestFailure) -> None:
         if self.reply.begun:
             return
         self._context.record_failure(failure, self._request)
         self.reply.fail(failure, self._request)
+
+
+def _fail_reading(exchange: Exchange, fault: Fault, detail: str) -> None:
+    failure = fault.failure(detail)
+    if exchange.started:
+        failure = replace(failure, outcome=Outcome.UNKNOWN)
+    exchange.fail(failure)
--- a/hillfield/proxy/settings.py
+++ b/hillfield/proxy/settings.py
@@ -16,7 +16,9 @@
     `gate_port` is where the nodes beside the targets take requests for them
     (None: targets are reached directly). Where `sign_after` is set, a request
     that is not answered by then gets an interim answer as a sign of life;
-    where `sign_within` is set, one is expected of the other end.
+    where `sign_within` is set, one is expected of the other end. Of the
+    requests of one connection, `pipeline_depth` run side by side: callers that
+    send further ones before the first is answered send a few at once.
     """
 
     address: Address
@@ -41,5 +43,6 @@
     gate_port: int | None = None
     sign_after: float = 0
     sign_within: float = 0
+    pipeline_depth: int = 4
     callers: CallerDialect = CallerDialect()
     targets: TargetDialect = field(default_factory=OwnDialect)
--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -70,13 +70,16 @@
     def refuse(self, failure: RequestFailure) -> bytes:
         """Return the answer to write, or nothing when one has begun."""
 
+    def defer(self, answer: bytes) -> bool:
+        """Hold an answer back if others come before it; tell whether."""
+
 
 class CallerStream(PromptStream):
     """Screen heads before tornado reads them, and end refusals gently.
 
     A socket that is closed with unread bytes resets the connection, by
     which the caller may lose the answer; so after a refusal the stream
-    reads on for a moment.
+    reads on for a moment. `ending` tells that no further request is served.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         self.written = 0
         self.reading_head = False
         self.lingering = False
+        self.ending = False
         self._owner = owner
         self._ended = False
 
@@ -103,7 +107,7 @@
         self.reading_head = True
         head = await super().read_until_regex(regex, max_bytes)
         self.reading_head = False
-        if self.lingering or self.closed():
+        if self.lingering or self.ending or self.closed():
             # No answer could follow: what has come already must not run, its
             # caller asks for it again.
             raise StreamClosedError
@@ -116,9 +120,12 @@
     def write(self, chunk: bytes | memoryview) -> 'Future[None]':
         """Write, with our own refusal in place of tornado's."""
         if chunk == _TORNADO_REFUSAL:
-            return self.refuse(
+            flushed = self.refuse(
                 Fault.MALFORMED.failure('the framing of the body is wrong'),
             )
+            if self.ending:
+                raise StreamClosedError
+            return flushed
         return super().write(chunk)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -138,12 +145,13 @@
     def close(self, exc_info: Any = False) -> None:  # tornado's own type
         """Close; after a refusal only once the caller has ended."""
         too_long = isinstance(exc_info, UnsatisfiableReadError)
-        if too_long and self.reading_head and not self.lingering:
+        settled = self.lingering or self.ending
+        if too_long and self.reading_head and not settled:
             limit = self.settings.head_limit
             self.refuse(
                 Fault.HEAD_TOO_LARGE.failure(f'over {limit} bytes of head'),
             )
-        if self.lingering and not self._ended:
+        if (self.lingering or self.ending) and not self._ended:
             if too_long or not exc_info:
                 return
         super().close(exc_info)
@@ -151,11 +159,15 @@
     def reset(self) -> None:
         """Close now, so that an answer in flight can't look whole."""
         self.lingering = False
+        self.ending = False
         super().reset()
 
     def refuse(self, failure: RequestFailure) -> 'Future[None]':
         """Answer with a failure and end the connection."""
         answer = self._owner.refuse(failure)
+        if answer and self._owner.defer(answer):
+            self.ending = True
+            return get_running_loop().create_future()
         if answer:
             flushed = self.write(answer)
             self.linger(flushed)
@@ -181,6 +193,7 @@
     def abandon(self) -> None:
         """Close now."""
         self.lingering = False
+        self.ending = False
         self.close()
 
     def _shut(self, flushed: 'Future[None]') -> None:
--- a/hillfield/proxy/tests/test_faults.py
+++ b/hillfield/proxy/tests/test_faults.py
@@ -379,8 +379,8 @@
 
 async def test_what_came_before_the_end_does_not_run_after_it(path):
     """A caller asks anew for what lay unread behind a broken answer."""
-    broken = b'HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n' + bytes(99999)
-    await path.start(cut_after(broken))
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n'
+    await path.start(cut_after(head + bytes(99999)))
     reader, writer = await path.open()
     writer.write(POST + POST)
     with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
--- a/hillfield/proxy/tests/test_server.py
+++ b/hillfield/proxy/tests/test_server.py
@@ -4,8 +4,10 @@
 import gc
 
 import pytest
+from msgspec.structs import replace
 
 from hillfield.proxy.exchanges import Exchange
+from hillfield.proxy.tests.gatetarget import read_bodies
 from hillfield.routing.requests import Answered
 
 GET = b'GET /fees?x=1 HTTP/1.1\r\nHost: till\r\n\r\n'
@@ -104,3 +106,17 @@
     assert len(target.requests) == 2
     left = [kept for kept in gc.get_objects() if isinstance(kept, Exchange)]
     assert not left
+
+
+async def test_reads_leave_nothing_to_collect(path, no_collection):
+    await path.start()
+    path.plans.plan = replace(path.plans.plan, idempotent=True, aim=1)
+    reader, writer = await path.open()
+    writer.write(GET + GET + GET)
+    bodies = await read_bodies(path, reader, 3)
+    assert bodies == [b'ok', b'ok', b'ok']
+    writer.close()
+    while path.server.count_connections():
+        await asyncio.sleep(0)
+    left = [kept for kept in gc.get_objects() if isinstance(kept, Exchange)]
+    assert not left
--- /dev/null
+++ b/hillfield/proxy/writing.py
@@ -0,0 +1,99 @@
+"""Bytes of one answer, written when it is its turn."""
+
+from asyncio import Future
+from typing import Final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import ResponseStartLine
+
+from hillfield.proxy.fields import Fields, render_status
+from hillfield.proxy.streams import CallerStream
+from hillfield.proxy.turns import Turn
+
+_LAST_CHUNK: Final = b'0\r\n\r\n'
+
+
+class AnswerWriter:
+    """Write one answer, and end its connection if it is the last.
+
+    `request_read` tells that the request has been read to its end, `chunked`
+    that the answer goes out in chunks, `early` that the request runs beside
+    others of its connection, so that tornado's part in it has ended.
+    """
+
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        stream: CallerStream,
+        turn: Turn,
+    ) -> None:
+        """Prepare; nothing is written yet."""
+        self.connection = connection
+        self.request_read = False
+        self.chunked = False
+        self.early = False
+        self._stream = stream
+        self._turn = turn
+
+    def note_read(self) -> None:
+        """Note the request's end; the next may be read now if it is early."""
+        self.request_read = True
+        if self.early:
+            self.connection.finish()
+
+    def write_whole(
+        self,
+        start_line: ResponseStartLine,
+        fields: Fields,
+        body: bytes,
+    ) -> None:
+        """Write an answer that is held whole."""
+        self._add_close(fields)
+        if self._stream.closed():
+            return
+        self._stream.write(fields.render(render_status(start_line)) + body)
+        self.end()
+
+    def write_head(
+        self,
+        start_line: ResponseStartLine,
+        fields: Fields,
+        part: bytes,
+    ) -> 'Future[None]':
+        """Begin an answer of which more follows."""
+        self._add_close(fields)
+        return self.connection.write_headers(
+            start_line,
+            fields.to_headers(),
+            part,
+        )
+
+    def end(self) -> None:
+        """End a whole answer, and let the next one out."""
+        last = self._turn.closing or not self.request_read
+        if not (self.early or last):
+            self.connection.finish()
+        elif not self._stream.closed():
+            flushed = self._stream.write(_LAST_CHUNK if self.chunked else b'')
+            if last:
+                # An unread rest of the request must not reset the connection
+                # before the caller has the answer.
+                self._stream.linger(flushed)
+        self._turn.end()
+
+    def cut(self) -> None:
+        """End the connection within the answer.
+
+        A reset would also take back what the caller has not read yet of the
+        answers before; the end of a connection shows as well that an answer
+        with a length, or in chunks, is not whole.
+        """
+        if not self.early:
+            self._stream.reset()
+        elif not self._stream.closed():
+            self._stream.linger(self._stream.write(b''))
+        self._turn.end_all()
+
+    def _add_close(self, fields: Fields) -> None:
+        if self._turn.closing or not self.request_read:
+            fields.add('Connection', 'close')
