Bound the bytes that a node holds by its memory

A process over its memory is ended with all that it holds, and nothing but the number of connections bounded what large uploads or slow readers made a node hold. Where the settings tell the memory, three pools by client account now bound it: what is kept of request bodies, what has come of answers and isn't read, and whole bodies under way to the host's target. A request is let in if its account then holds no more than is left free; else it is refused before its body is read (503, not run, Retry-After, event 2013, counted). Ruled out: a fixed share an account, and waiting for room.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -24,6 +24,7 @@
     REQUEST_FAILED = 2010
     REQUEST_SENT_ON = 2011
     CRASHING_REQUEST_REFUSED = 2012
+    BYTES_EXHAUSTED = 2013
     TARGET_SUSPECTED = 3001
     TARGET_EJECTED = 3002
     TARGET_AVOIDED = 3003
@@ -116,6 +117,7 @@
         EventCode.REQUEST_FAILED: 'info',
         EventCode.REQUEST_SENT_ON: 'info',
         EventCode.CRASHING_REQUEST_REFUSED: 'info',
+        EventCode.BYTES_EXHAUSTED: 'warning',
         EventCode.TARGET_SUSPECTED: 'info',
         EventCode.TARGET_EJECTED: 'warning',
         EventCode.TARGET_AVOIDED: 'warning',
--- /dev/null
+++ b/hillfield/holding/__init__.py
@@ -0,0 +1,23 @@
+"""Bytes that a node holds of requests and answers, within a budget."""
+
+from hillfield.holding.budgets import (
+    COME_BACK,
+    ByteBudget,
+    ByteLimits,
+    make_budget,
+    make_limits,
+    share_with_callers,
+)
+from hillfield.holding.holders import Holder
+from hillfield.holding.pools import BytePool
+
+__all__ = (
+    'COME_BACK',
+    'ByteBudget',
+    'ByteLimits',
+    'BytePool',
+    'Holder',
+    'make_budget',
+    'make_limits',
+    'share_with_callers',
+)
--- /dev/null
+++ b/hillfield/holding/tests/test_holders.py
@@ -0,0 +1,86 @@
+"""What requests take and give back."""
+
+# Tests are untyped.
+# mypy: disable-error-code="no-untyped-call"
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hillfield.holding import ByteLimits, Holder, make_budget, make_limits
+
+LIMITS = ByteLimits(1000, 1000, 4000)
+
+
+def read_totals(budget):
+    return (budget.requests.total, budget.answers.total, budget.target.total)
+
+
+def test_a_request_takes_room_here_and_at_the_target():
+    budget = make_budget(LIMITS)
+    holder = Holder(budget, 'baker')
+    assert not holder.reserve(100, 400)
+    assert read_totals(budget) == (100, 0, 400)
+    holder.pass_body()
+    assert read_totals(budget) == (0, 0, 400)
+    holder.add_answer(70)
+    holder.end_work()
+    assert read_totals(budget) == (0, 70, 0)
+    holder.release()
+    assert read_totals(budget) == (0, 0, 0)
+
+
+def test_each_pool_refuses_for_itself():
+    budget = make_budget(LIMITS)
+    assert not Holder(budget, 'baker').reserve(500, 500)
+    assert 'body' in Holder(budget, 'baker').reserve(1, 1)
+    assert not Holder(budget, 'till').reserve(1, 1)
+    assert 'target' in Holder(budget, 'till').reserve(1, 3500)
+
+
+def test_a_slow_reader_is_refused_and_others_are_not():
+    budget = make_budget(LIMITS)
+    Holder(budget, 'slow').add_answer(600)
+    assert 'answers' in Holder(budget, 'slow').reserve(0, 0)
+    assert not Holder(budget, 'other').reserve(0, 0)
+
+
+def test_an_unknown_length_counts_as_it_comes():
+    budget = make_budget(LIMITS)
+    holder = Holder(budget, 'baker')
+    holder.reserve(10, 0)
+    holder.note_body(300)
+    holder.note_body(900)
+    assert budget.target.total == 900
+    holder.release()
+    holder.note_body(1000)
+    assert read_totals(budget) == (0, 0, 0)
+
+
+def test_without_limits_all_is_let_in():
+    budget = make_budget(make_limits(None))
+    assert not Holder(budget, 'baker').reserve(10**12, 10**12)
+    assert not Holder(budget, 'baker').reserve(10**12, 10**12)
+
+
+CALLS = st.sampled_from(
+    (
+        ('pass_body', ()),
+        ('add_answer', (50,)),
+        ('drop_answer', (30,)),
+        ('note_body', (700,)),
+        ('end_work', ()),
+        ('release', ()),
+    ),
+)
+
+
+@given(st.lists(CALLS))
+def test_in_any_order_all_is_given_back_once(calls):
+    budget = make_budget(LIMITS)
+    holder = Holder(budget, 'baker')
+    holder.reserve(100, 400)
+    for name, arguments in calls:
+        getattr(holder, name)(*arguments)
+        assert min(read_totals(budget)) >= 0
+    holder.release()
+    assert read_totals(budget) == (0, 0, 0)
--- a/hillfield/node/journal.py
+++ b/hillfield/node/journal.py
@@ -22,6 +22,8 @@
         if is_decision(occurrence.code):
             kind = occurrence.code.name.lower()
             self._metrics.note_decision(occurrence.service, kind)
+        elif occurrence.code is EventCode.BYTES_EXHAUSTED:
+            self._metrics.note_refusal(occurrence.detail)
         self._journal.record(occurrence)
 
 
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -34,6 +34,7 @@
 # Figures of the users' present sites, for a file that leaves them out.
 HEARTBEAT: Final = 1.5
 GRACE: Final = 6.0
+BYTES_OF_A_MEGABYTE: Final = 1_000_000
 RETRY_RATIO: Final = 0.2
 FLOOR: Final = 0.7
 
@@ -50,6 +51,7 @@
     """Hold what the machine gives the process."""
 
     max_fds: int = 4096
+    memory_mb: float | None = None
 
 
 class StorePlace(Struct, frozen=True):
@@ -90,7 +92,8 @@
 
     `grace` is the seconds between the platform's request to stop and the
     end, `retry_ratio` the repeats a request of the whole fleet, `floor` the
-    least share of a service's sound targets to be used.
+    least share of a service's sound targets to be used, `memory` the bytes
+    that the process may take (None: not told).
     """
 
     settings: NodeSettings
@@ -104,6 +107,7 @@
     grace: float
     retry_ratio: float
     floor: float
+    memory: int | None
 
 
 def read_boot(path: Path) -> Result[Boot, str]:
@@ -135,9 +139,16 @@
         grace=wire.bound('graceS', GRACE),
         retry_ratio=wire.bound('retryBudgetRatio', RETRY_RATIO),
         floor=wire.bound('floorShare', FLOOR),
+        memory=_read_memory(wire.limits),
     )
 
 
+def _read_memory(limits: Limits) -> int | None:
+    if limits.memory_mb is None:
+        return None
+    return int(limits.memory_mb * BYTES_OF_A_MEGABYTE)
+
+
 def _make_settings(wire: BootFile) -> NodeSettings:
     first = wire.internal_ports[0]
     return NodeSettings(
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -7,6 +7,7 @@
 from hillfield.fleet.openrelay import CHECK
 from hillfield.gate import HopDialect, Seat
 from hillfield.gate.seating import Seating
+from hillfield.holding import make_budget, make_limits, share_with_callers
 from hillfield.hostroutes import HostPlanner, PlannerSettings, make_policy
 from hillfield.model import Address
 from hillfield.node.fittings import Fittings, Listening
@@ -63,6 +64,7 @@
         self._boot = boot
         self._recording = recording
         self._node: GatedNode | None = None
+        self._budget = make_budget(make_limits(boot.memory))
 
     def join(self, node: GatedNode) -> None:
         """Take the node whose target is spoken with."""
@@ -124,6 +126,7 @@
             sign_within=SIGN_WITHIN,
             callers=CALLERS,
             targets=HopDialect(),
+            budget=share_with_callers(self._budget),
         )
 
     def _make_hop_settings(self) -> ProxySettings:
@@ -135,6 +138,7 @@
             pipeline_depth=1,
             callers=HOPS,
             targets=TargetHeaders(self.find_seat),
+            budget=self._budget,
         )
 
     def _make_proxy_settings(
--- a/hillfield/proxy/attempts.py
+++ b/hillfield/proxy/attempts.py
@@ -98,6 +98,8 @@
     def cut(self) -> None:
         """End the attempt now; the target sees the connection close."""
         self.ended = True
+        self._order.holder.drop_answer(len(self.answer.held))
+        self.answer.held.clear()
         if self._stream is not None:
             self._stream.close()
 
@@ -118,10 +120,12 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Take in a part of the body."""
         if self.relay is not None:
+            self._order.holder.add_answer(len(chunk))
             return self.relay.write_part(chunk)
         if self.ended or self.answer.stray:
             return None
         self.answer.held += chunk
+        self._order.holder.add_answer(len(chunk))
         if len(self.answer.held) <= self._tools.settings.held_answer:
             return None
         return self.owner.note_overflow(self)
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -198,6 +198,7 @@
         if self._sign is not None:
             self._sign.cancel()
         self._order.body.discard()
+        self._order.holder.end_work()
         self._context.takers.pop(self._order.passage.key, None)
         busy = bool(self._running.attempts)
         self._running.cut()
--- a/hillfield/proxy/failures.py
+++ b/hillfield/proxy/failures.py
@@ -69,6 +69,12 @@
         Step.ADMIT,
         EventCode.CONNECTIONS_EXHAUSTED,
     )
+    BYTES = (
+        503,
+        Outcome.NOT_RUN,
+        Step.ADMIT,
+        EventCode.BYTES_EXHAUSTED,
+    )
     DEADLINE_NOT_RUN = (
         504,
         Outcome.NOT_RUN,
--- a/hillfield/proxy/orders.py
+++ b/hillfield/proxy/orders.py
@@ -6,6 +6,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from hillfield.crashes import Likeness
+from hillfield.holding import Holder
 from hillfield.model import RequestPlan
 from hillfield.proxy.bodies import RequestBody
 from hillfield.proxy.dialects import TargetDialect
@@ -14,11 +15,19 @@
 from hillfield.routing.requests import Send
 
 _LENGTH: Final = 'Content-Length'
+# A body that is held is there as it came and as it is written.
+COPIES: Final = 2
+# A streamed one: read from the caller, on its way, written to the target, and
+# one that is still taken in.
+STREAMED_PARTS: Final = 4
 _BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
 
 class Order(Struct, frozen=True):
-    """Hold a planned request; `expires` is in monotonic seconds."""
+    """Hold a planned request; `expires` is in monotonic seconds.
+
+    `holder` counts the bytes that are held for it.
+    """
 
     start_line: RequestStartLine
     headers: HTTPHeaders
@@ -26,6 +35,7 @@
     plan: RequestPlan
     passage: Passage
     expires: float
+    holder: Holder
 
 
 def list_fields(
@@ -67,6 +77,22 @@
     return None if announced is None else int(announced)
 
 
+def find_reserve(order: Order, part_size: int) -> tuple[int, int]:
+    """Return the bytes kept here at a time, and those of the whole body.
+
+    Of an unknown length nothing is known of the whole: it is counted as it
+    comes.
+    """
+    if not has_body(order.headers):
+        return 0, 0
+    streamed = STREAMED_PARTS * part_size
+    announced = order.headers.get(_LENGTH)
+    if announced is None:
+        return streamed, 0
+    length = int(announced)
+    return min(COPIES * length, streamed), length
+
+
 def needs_length(order: Order) -> bool:
     """Tell that the body can't be streamed: tornado chunks few methods."""
     if order.start_line.method in _BODY_METHODS:
--- a/hillfield/proxy/planning.py
+++ b/hillfield/proxy/planning.py
@@ -6,6 +6,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from hillfield.clocks import monotonic
+from hillfield.holding import COME_BACK, Holder
 from hillfield.model import RequestFailure, RequestPlan
 from hillfield.proxy.bodies import RequestBody
 from hillfield.proxy.context import ProxyContext
@@ -18,7 +19,7 @@
     read_request_id,
 )
 from hillfield.proxy.identifiers import find_request_id
-from hillfield.proxy.orders import Order, has_body
+from hillfield.proxy.orders import Order, find_reserve, has_body
 
 
 class Naming(Struct, frozen=True):
@@ -63,6 +64,7 @@
                 dialect.key_scheme,
             ),
             monotonic() + deadline,
+            Holder(context.settings.budget, plan.account),
         ),
     )
 
@@ -82,6 +84,14 @@
     return replace(order, passage=passage)
 
 
+def reserve_bytes(order: Order, part_size: int) -> RequestFailure | None:
+    """Take room for a request before its body is read, or refuse it."""
+    detail = order.holder.reserve(*find_reserve(order, part_size))
+    if not detail:
+        return None
+    return Fault.BYTES.failure(detail, retry_after=COME_BACK)
+
+
 def runs_beside(order: Order | None, headers: HTTPHeaders) -> bool:
     """Tell whether a request may run beside those read before it.
 
--- a/hillfield/proxy/replies.py
+++ b/hillfield/proxy/replies.py
@@ -119,7 +119,7 @@
 
     def write_part(self, part: bytes) -> 'Future[None]':
         """Relay a part; the future bounds what is buffered."""
-        return self.turn.put(partial(self.connection.write, part), len(part))
+        return self.turn.put(partial(self.writer.write_part, part), len(part))
 
     def end(self) -> None:
         """End a whole answer."""
--- a/hillfield/proxy/requests.py
+++ b/hillfield/proxy/requests.py
@@ -24,6 +24,7 @@
     name_request,
     plan_order,
     rename_order,
+    reserve_bytes,
     runs_beside,
 )
 from hillfield.proxy.replies import Reply
@@ -74,6 +75,7 @@
         if self._order is None or exchange is None or exchange.closed:
             self._body.discard()
             return None
+        self._order.holder.note_body(self._body.size)
         if self._body.size > self._context.settings.body_limit:
             _fail_reading(
                 exchange,
@@ -99,6 +101,8 @@
         """Cancel: the caller has gone."""
         self._body.discard()
         self.reply.turn.drop()
+        if self._order is not None:
+            self._order.holder.release()
         if self._exchange is not None:
             self._exchange.leave()
 
@@ -140,6 +144,10 @@
     def _begin(self, headers: HTTPHeaders) -> None:
         order = self._order
         if order is not None:
+            part_size = self._context.settings.part_size
+            self._refusal = reserve_bytes(order, part_size)
+        if order is not None and self._refusal is None:
+            self.reply.writer.holder = order.holder
             self._exchange = Exchange(self._context, order, self.reply)
         elif self._refusal is not None and has_body(headers):
             # tornado must not ask for a body after the answer.
--- a/hillfield/proxy/sending.py
+++ b/hillfield/proxy/sending.py
@@ -77,6 +77,7 @@
                 return
             part = await body.take()
         if body.whole:
+            self._order.holder.pass_body()
             self._finish()
 
     def _finish(self) -> None:
--- a/hillfield/proxy/settings.py
+++ b/hillfield/proxy/settings.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct, field
 
+from hillfield.holding import ByteBudget, make_budget
 from hillfield.model import Address
 from hillfield.proxy.dialects import CallerDialect, OwnDialect, TargetDialect
 
@@ -18,7 +19,8 @@
     that is not answered by then gets an interim answer as a sign of life;
     where `sign_within` is set, one is expected of the other end. Of the
     requests of one connection, `pipeline_depth` run side by side: callers that
-    send further ones before the first is answered send a few at once.
+    send further ones before the first is answered send a few at once. The
+    servers of a node share one `budget` of bytes held.
     """
 
     address: Address
@@ -44,5 +46,6 @@
     sign_after: float = 0
     sign_within: float = 0
     pipeline_depth: int = 4
+    budget: ByteBudget = field(default_factory=make_budget)
     callers: CallerDialect = CallerDialect()
     targets: TargetDialect = field(default_factory=OwnDialect)
--- a/hillfield/proxy/tests/test_planning.py
+++ b/hillfield/proxy/tests/test_planning.py
@@ -6,6 +6,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from hillfield.holding import Holder, make_budget
 from hillfield.model import RequestPlan
 from hillfield.proxy.bodies import RequestBody
 from hillfield.proxy.heads import Passage
@@ -21,6 +22,7 @@
         RequestPlan('till', 'all', 'baker', idempotent, 5, aim=aim),
         Passage('r', 'k', ''),
         0,
+        Holder(make_budget(), 'baker'),
     )
 
 
--- a/hillfield/proxy/writing.py
+++ b/hillfield/proxy/writing.py
@@ -6,6 +6,7 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import ResponseStartLine
 
+from hillfield.holding import Holder
 from hillfield.proxy.fields import Fields, render_status
 from hillfield.proxy.streams import CallerStream
 from hillfield.proxy.turns import Turn
@@ -18,7 +19,8 @@
 
     `request_read` tells that the request has been read to its end, `chunked`
     that the answer goes out in chunks, `early` that the request runs beside
-    others of its connection, so that tornado's part in it has ended.
+    others of its connection, so that tornado's part in it has ended, `holder`
+    counts what is held for it.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
         self.request_read = False
         self.chunked = False
         self.early = False
+        self.holder: Holder | None = None
         self._stream = stream
         self._turn = turn
 
@@ -62,12 +65,16 @@
     ) -> 'Future[None]':
         """Begin an answer of which more follows."""
         self._add_close(fields)
-        return self.connection.write_headers(
-            start_line,
-            fields.to_headers(),
-            part,
+        head = fields.to_headers()
+        return self._follow(
+            self.connection.write_headers(start_line, head, part),
+            len(part),
         )
 
+    def write_part(self, part: bytes) -> 'Future[None]':
+        """Write a part of an answer that has begun."""
+        return self._follow(self.connection.write(part), len(part))
+
     def end(self) -> None:
         """End a whole answer, and let the next one out."""
         last = self._turn.closing or not self.request_read
@@ -79,6 +86,7 @@
                 # An unread rest of the request must not reset the connection
                 # before the caller has the answer.
                 self._stream.linger(flushed)
+        self._release()
         self._turn.end()
 
     def cut(self) -> None:
@@ -94,6 +102,23 @@
             self._stream.linger(self._stream.write(b''))
         self._turn.end_all()
 
+    def _follow(self, written: 'Future[None]', size: int) -> 'Future[None]':
+        """Count what has gone out as held no more."""
+        if self.holder is not None:
+            drop = self.holder.drop_answer
+            written.add_done_callback(lambda _: drop(size))
+        return written
+
+    def _release(self) -> None:
+        """Count nothing as held once all has gone out, or never will."""
+        if self.holder is None:
+            return
+        if self._stream.closed() or not self._stream.writing():
+            self.holder.release()
+            return
+        release = self.holder.release
+        self._stream.write(b'').add_done_callback(lambda _: release())
+
     def _add_close(self, fields: Fields) -> None:
         if self._turn.closing or not self.request_read:
             fields.add('Connection', 'close')
