Let a refusal behind a broken answer leave what was written alone

A malformed head behind an answer that breaks off in its turn ended the connection at once, although what had been written was still on its way to the caller: leaving the order abandoned the stream. A refusal runs nothing, so nothing has to be cancelled. The close callback is set only while a connection waits for room.

--- a/hillfield/proxy/callers.py
+++ b/hillfield/proxy/callers.py
@@ -80,7 +80,7 @@
         if told or not self._order.is_busy():
             return False
         last = LastTurn(self.stream, answer)
-        self._order.join(last, self.stream.abandon)
+        self._order.join(last, last.leave)
         return True
 
     def close_after_answer(self) -> None:
@@ -121,10 +121,10 @@
     async def _wait_for_room(self) -> None:
         """Let pipelined requests pile up neither work nor answers."""
         stream = self.stream
-        stream.set_close_callback(self._order.wake)
         while not (self._order.has_room() or stream.closed()):
+            stream.set_close_callback(self._order.wake)
             await self._order.wait()
-        stream.set_close_callback(None)
+            stream.set_close_callback(None)
         if stream.writing():
             await stream.write(b'')
         elif stream.unread:
--- a/hillfield/proxy/tests/test_pipeline_ends.py
+++ b/hillfield/proxy/tests/test_pipeline_ends.py
@@ -117,6 +117,20 @@
     writer.close()
 
 
+async def test_a_refusal_behind_a_cut_takes_no_answer_back(path):
+    gate = await start(path)
+    gate.sizes = {b'/a': HUGE, b'/b': HUGE}
+    gate.broken = {b'/b'}
+    asked = safe(b'/a'), safe(b'/b'), b'GET /bad HTTP/1.1\r\nHost : t\r\n\r\n'
+    reader, writer = await open_with(path, *asked)
+    await gate.wait_for(lambda: len(gate.begun) == 2)
+    gate.let_out(b'/a', b'/b')
+    assert (await path.read(reader))[1] == gate.body_of(b'/a')
+    with pytest.raises(asyncio.IncompleteReadError):
+        await path.read(reader)
+    writer.close()
+
+
 async def test_a_late_head_is_refused_behind_the_answers(path):
     gate = await start(path, head_timeout=1)
     asked = safe(b'/a'), b'GET /b'
--- a/hillfield/proxy/turns.py
+++ b/hillfield/proxy/turns.py
@@ -104,6 +104,9 @@
         if not self._stream.closed():
             self._stream.linger(self._stream.write(self._answer))
 
+    def leave(self) -> None:
+        """Cancel nothing: nothing runs. What was written still goes out."""
+
 
 def _is_over(stream: CallerStream) -> bool:
     return stream.lingering or stream.closed()
