Write nothing behind a whole answer that others follow

An answer to a read that ran beside others ended with a write of no bytes, a call on the stream for each request without any effect. Only a last chunk, or the end of the connection, needs one. The tests of the request path pass as before.

--- a/hillfield/proxy/writing.py
+++ b/hillfield/proxy/writing.py
@@ -77,15 +77,12 @@
 
     def end(self) -> None:
         """End a whole answer, and let the next one out."""
-        last = self._turn.closing or not self.request_read
-        if not (self.early or last):
+        if self._is_last():
+            self._end_connection()
+        elif not self.early:
             self.connection.finish()
-        elif not self._stream.closed():
-            flushed = self._stream.write(_LAST_CHUNK if self.chunked else b'')
-            if last:
-                # An unread rest of the request must not reset the connection
-                # before the caller has the answer.
-                self._stream.linger(flushed)
+        elif self.chunked and not self._stream.closed():
+            self._stream.write(_LAST_CHUNK)
         self._release()
         self._turn.end()
 
@@ -119,6 +116,18 @@
         release = self.holder.release
         self._stream.write(b'').add_done_callback(lambda _: release())
 
+    def _end_connection(self) -> None:
+        """End it without a reset by an unread rest of the request.
+
+        That could take the answer back before the caller has it.
+        """
+        if not self._stream.closed():
+            last = _LAST_CHUNK if self.chunked else b''
+            self._stream.linger(self._stream.write(last))
+
+    def _is_last(self) -> bool:
+        return self._turn.closing or not self.request_read
+
     def _add_close(self, fields: Fields) -> None:
-        if self._turn.closing or not self.request_read:
+        if self._is_last():
             fields.add('Connection', 'close')
