Tell the room of a target on each answer and decline of its gate

A gate's answers reach the very node that is about to choose again, and said nothing.

Each answer and each decline of a gate now carries its report in Hillfield-Room, taken in before the verdict on that attempt; reports tell the wait for one more and the slots that do useful work as well.

--- a/hillfield/experiments/calling/courses.py
+++ b/hillfield/experiments/calling/courses.py
@@ -9,6 +9,7 @@
 from hillfield.events import EventCode
 from hillfield.experiments.calling.deployment import Kind
 from hillfield.experiments.calling.targets import ERROR, OK, Run
+from hillfield.loadreports import LoadReport
 from hillfield.model import Outcome, RequestPlan
 from hillfield.proxy.running import HEDGE_AGAIN
 from hillfield.routing.declining import Declined
@@ -75,6 +76,8 @@
         if hop.over:
             return
         hop.over = True
+        if hop.room is not None:
+            self._dispatcher.adopt_report(self.host.clock.now, hop.room)
         self.hops.pop(hop.send.attempt, None)
         now = self.host.clock.now
         verdict = self._dispatcher.finish(now, hop.send.attempt, observation)
@@ -136,12 +139,16 @@
 
 
 class Hop:
-    """Follow one attempt on its way to a gate, there and back."""
+    """Follow one attempt on its way to a gate, there and back.
+
+    `room` is what the gate's answer tells of the room at its target.
+    """
 
     def __init__(self, course: Course, send: Send) -> None:
         """Prepare."""
         self.send = send
         self.over = False
+        self.room: LoadReport | None = None
         self._course = course
         self._clock = course.host.clock
         self._key = f'{course.name}/{send.attempt}'
@@ -170,6 +177,7 @@
                 event == int(EventCode.TARGET_HELD_BACK),
             )
             self._gone = True
+            self._course.host.network.declined += 1
             self._answer(declined, 0)
         elif isinstance(verdict, Send):
             self._work = verdict
@@ -231,6 +239,7 @@
 
     def _answer(self, observation: Observation, size: int) -> None:
         self._note_bytes(size)
+        self.room = self._host.gate.report_on_answer(self._clock.now)
         end = partial(self._course.note_end, self, observation)
         self._clock.call_later(self._delay, end)
 
--- a/hillfield/experiments/calling/hosts.py
+++ b/hillfield/experiments/calling/hosts.py
@@ -35,11 +35,15 @@
 
 @dataclass(slots=True)
 class Network:
-    """Find hosts, and count what goes between failure domains."""
+    """Find hosts, and count what goes between failure domains.
+
+    `declined` counts the requests that gates did not take.
+    """
 
     clock: Clock
     hosts: 'dict[Address, Host]'
     crossing: Counter[str]
+    declined: int = 0
 
     def find_host(self, address: Address) -> 'Host':
         """Return the host of a target."""
@@ -99,6 +103,7 @@
         self._slots = target.slots
         self._calls = 0
         self.gate.listener = self._report
+        self.gate.on_answer = self._pacer.note_answer
 
     def join(self, targets: tuple[Target, ...]) -> None:
         """Learn of all targets, and begin to tick."""
--- a/hillfield/experiments/calling/play.py
+++ b/hillfield/experiments/calling/play.py
@@ -28,12 +28,14 @@
     """Count what became of the requests of each kind.
 
     `crossing` is bytes between failure domains, `repeats` the most that a
-    service got within 10 s, `earned` and `owed` the worth of all.
+    service got within 10 s, `declined` how often a gate did not take one,
+    `earned` and `owed` the worth of all.
     """
 
     counts: dict[str, Counter[str]] = field(default_factory=dict)
     crossing: Counter[str] = field(default_factory=Counter)
     repeats: Counter[str] = field(default_factory=Counter)
+    declined: int = 0
     earned: float = 0
     owed: float = 0
 
@@ -68,6 +70,7 @@
                 self._await_next(kind, seconds - CLOSING)
         self._clock.run(seconds)
         self._count_repeats()
+        self._outcome.declined = self._network.declined
         return self._outcome
 
     def _build(self) -> None:
--- a/hillfield/gate/__init__.py
+++ b/hillfield/gate/__init__.py
@@ -5,5 +5,14 @@
 from hillfield.gate.plans import GatePlans
 from hillfield.gate.seat import Seat
 from hillfield.gate.seating import Seating
+from hillfield.gate.telling import add_room
 
-__all__ = ('Gate', 'GatePlans', 'HopDialect', 'HopOrder', 'Seat', 'Seating')
+__all__ = (
+    'Gate',
+    'GatePlans',
+    'HopDialect',
+    'HopOrder',
+    'Seat',
+    'Seating',
+    'add_room',
+)
--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -84,14 +84,21 @@
 
 
 def find_wait(state: GateState, target: Target) -> float:
-    """Return the seconds that one more would wait for a slot.
+    """Return the seconds that one more would wait for a slot."""
+    ahead = len(state.queue) + 1
+    return ahead * find_need(state) / count_usable(state, target)
+
+
+def count_usable(state: GateState, target: Target) -> int:
+    """Return the slots that do useful work: one whose request hangs doesn't.
 
-    A slot whose request hangs is not counted on.
+    It is 1 at the least: what is held back says that none does.
     """
     attempts = state.ledger.attempts.values()
-    hung = sum(attempt.hung for attempt in attempts)
-    ahead = len(state.queue) + 1
-    return ahead * find_need(state) / max(1, target.slots - hung)
+    hung = sum(
+        attempt.hung for attempt in attempts if attempt.target.id == target.id
+    )
+    return max(1, target.slots - hung)
 
 
 def _find_bound(
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -9,7 +9,8 @@
 from tornado.httputil import HTTPHeaders
 
 from hillfield.events import EventCode
-from hillfield.model import Outcome, RequestPlan, Step, Urgency
+from hillfield.loadreports import ROOM, LoadReport, read_room
+from hillfield.model import Outcome, RequestPlan, Step, TargetId, Urgency
 from hillfield.proxy.dialects import (
     DEADLINE,
     NOT_RUN,
@@ -143,6 +144,15 @@
             )
         return Shed(read_retry_after(headers))
 
+    def read_room(
+        self,
+        target: TargetId,
+        headers: HTTPHeaders,
+    ) -> LoadReport | None:
+        """Read what the gate tells of its target's room."""
+        told = headers.get(ROOM)
+        return None if told is None else read_room(target, told)
+
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
         return names_request(request, headers)
--- a/hillfield/gate/notes.py
+++ b/hillfield/gate/notes.py
@@ -16,6 +16,8 @@
 # Is told that a request to a life of the target was lost, or that another
 # life has taken its place.
 LossListener = Callable[[TargetId], None]
+# Is told what an answer tells of the target's room.
+AnswerListener = Callable[[float, LoadReport], None]
 # Is told the fingerprint of a request that the target answered well.
 ServedListener = Callable[[bytes], None]
 
@@ -30,6 +32,7 @@
         self.on_lost: LossListener = _tell_nobody
         self.on_replaced: LossListener = _tell_nobody
         self.on_served: ServedListener = _tell_none
+        self.on_answer: AnswerListener = _note_nothing
 
     def note_written(self, now: float, attempt: int) -> None:
         """Note that the attempt's first byte is about to be written."""
@@ -46,11 +49,21 @@
     def note_silent(self, now: float, attempt: int) -> None:
         """Ignore it: targets send no signs of life."""
 
+    def adopt_report(self, now: float, report: LoadReport) -> None:
+        """Ignore it: targets don't tell of their room."""
+
     def report(self, now: float) -> LoadReport | None:
         """Return what other nodes should know of the target's room."""
         self._told += 1
         return report_load(self._state, now, self._told)
 
+    def report_on_answer(self, now: float) -> LoadReport | None:
+        """Return what one node is told on an answer, and note that."""
+        report = self.report(now)
+        if report is not None:
+            self.on_answer(now, report)
+        return report
+
     def note_ended(
         self,
         now: float,
@@ -87,3 +100,7 @@
 
 def _tell_none(fingerprint: bytes) -> None:
     """Tell nobody: no one follows requests."""
+
+
+def _note_nothing(now: float, report: LoadReport) -> None:
+    """Note nothing: nobody tells others."""
--- a/hillfield/gate/reporting.py
+++ b/hillfield/gate/reporting.py
@@ -1,9 +1,15 @@
 """What the gate tells of its target's room."""
 
+from typing import Final
+
+from hillfield.gate.admission import count_usable, find_wait
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
 from hillfield.loadreports.reports import Held, LoadReport
 
+# Digits of the seconds that are told: a millisecond changes no choice.
+WAIT_DIGITS: Final = 3
+
 
 def report_load(
     state: GateState,
@@ -25,6 +31,8 @@
         free,
         waiting,
         _find_held(state, now),
+        0 if free else round(find_wait(state, target), WAIT_DIGITS),
+        count_usable(state, target),
     )
 
 
--- a/hillfield/loadreports/pacing.py
+++ b/hillfield/loadreports/pacing.py
@@ -6,6 +6,7 @@
 requests that it spares.
 """
 
+from enum import Enum, auto
 from math import ceil
 from typing import Final
 
@@ -31,9 +32,12 @@
 # calm day told nothing new.
 LATER_REFRESH: Final = 10.0
 # Datagrams a second that a node may send, and save up: 90 bytes each, so at
-# most 3.6 KB a second for long.
-DATAGRAM_RATE: Final = 40.0
+# most 9 KB a second for long, none of them to another failure domain.
+DATAGRAM_RATE: Final = 100.0
 DATAGRAM_BURST: Final = 120.0
+# Of those, datagrams a second for how many wait: it changes as often as the
+# room does, and moves a choice less.
+LINE_RATE: Final = 40.0
 # Tellings of one report for which datagrams are left before one that can
 # wait: a target that is sick, or has room again, is told at once. Where 40
 # nodes listen, a target that was told as full and could not be told as free
@@ -43,10 +47,24 @@
 MOST_TURNS: Final = 3
 
 
+class _Worth(Enum):
+    """Say what news is worth.
+
+    `PRESSING`: a choice would go wrong for long without it; `ROOM`: requests
+    would be declined until one of them brings it back; `LINE`: only how many
+    wait, or nothing new.
+    """
+
+    PRESSING = auto()
+    ROOM = auto()
+    LINE = auto()
+
+
 class _Told(Struct, frozen=True):
     """Hold what a choice depends on, and when it was told.
 
-    `times` counts how often it has been told.
+    `times` counts how often it has been told, `mixed` says that an answer has
+    told one node something else since.
     """
 
     has_room: bool
@@ -54,6 +72,7 @@
     held: Held
     moment: float
     times: int = 1
+    mixed: bool = False
 
     def differs(self, other: '_Told') -> bool:
         """Tell whether a choice depends on which of the two holds."""
@@ -69,6 +88,7 @@
         self._near: _Told | None = None
         self._far: _Told | None = None
         self._bucket = Bucket(DATAGRAM_BURST, DATAGRAM_BURST)
+        self._line = Bucket(DATAGRAM_BURST, DATAGRAM_BURST)
         self._filled: float = 0
 
     def is_due_near(
@@ -82,10 +102,8 @@
         state = _sum_up(now, report, slots)
         if not _is_news(self._near, state, NEAR_GAP, NEAR_REFRESH):
             return False
-        spared = 0
-        if not _is_pressing(self._near, state):
-            spared = SPARED_TELLINGS * listeners
-        if not self._take(now, listeners, spared):
+        self._pass_time(now)
+        if not self._take(_weigh(self._near, state), listeners):
             return False
         self._near = _count_telling(self._near, state)
         return True
@@ -98,11 +116,28 @@
         self._far = _count_telling(self._far, state)
         return True
 
-    def _take(self, now: float, datagrams: int, spared: int) -> bool:
-        self._bucket.deposit((now - self._filled) * DATAGRAM_RATE)
+    def note_answer(self, now: float, report: LoadReport) -> None:
+        """Note what an answer tells one node.
+
+        When the room is again as all were told, that node is to hear of it:
+        it would go on to avoid a target that is free again.
+        """
+        answered = _sum_up(now, report, 0)
+        self._near = _mix(self._near, answered)
+        self._far = _mix(self._far, answered)
+
+    def _pass_time(self, now: float) -> None:
+        passed = now - self._filled
         self._filled = now
+        self._bucket.deposit(passed * DATAGRAM_RATE)
+        self._line.deposit(passed * LINE_RATE)
+
+    def _take(self, worth: _Worth, datagrams: int) -> bool:
+        spared = 0 if worth is _Worth.PRESSING else SPARED_TELLINGS * datagrams
         if not self._bucket.can_take(datagrams + spared):
             return False
+        if worth is _Worth.LINE and not self._line.take(datagrams):
+            return False
         return self._bucket.take(datagrams)
 
 
@@ -112,11 +147,14 @@
     return _Told(has_room, min(MOST_TURNS, turns), report.held, now)
 
 
-def _is_pressing(told: _Told | None, state: _Told) -> bool:
-    """Tell whether a choice would go wrong for long without the news."""
+def _weigh(told: _Told | None, state: _Told) -> _Worth:
+    """Return what the news is worth to those who choose."""
     if told is None or told.held != state.held:
-        return True
-    return state.has_room and not told.has_room
+        return _Worth.PRESSING
+    if state.has_room:
+        changed = told.mixed or not told.has_room
+        return _Worth.PRESSING if changed else _Worth.LINE
+    return _Worth.ROOM if told.has_room else _Worth.LINE
 
 
 def _is_news(
@@ -128,14 +166,21 @@
     if told is None:
         return True
     passed = state.moment - told.moment
-    if told.differs(state):
+    if told.mixed or told.differs(state):
         return passed >= gap
     if told.times > REPEATS:
         refresh = LATER_REFRESH
     return passed >= refresh
 
 
+def _mix(told: _Told | None, answered: _Told) -> _Told | None:
+    if told is None or told.mixed:
+        return told
+    same = (told.has_room, told.held) == (answered.has_room, answered.held)
+    return told if same else replace(told, mixed=True)
+
+
 def _count_telling(told: _Told | None, state: _Told) -> _Told:
-    if told is None or told.differs(state):
+    if told is None or told.mixed or told.differs(state):
         return state
     return replace(state, times=told.times + 1)
--- a/hillfield/loadreports/reports.py
+++ b/hillfield/loadreports/reports.py
@@ -25,7 +25,9 @@
 
     `number` grows with each report of a life, `free` is its free slots,
     `waiting` how many requests wait at its gate, `held` what work the gate
-    holds back.
+    holds back, `wait` the seconds until one more usual request would begin (0
+    where a slot is free), `usable` the slots that do useful work now (0: not
+    told).
     """
 
     service: str
@@ -36,6 +38,8 @@
     free: int
     waiting: int = 0
     held: Held = Held.NOTHING
+    wait: float = 0
+    usable: int = 0
 
     @property
     def target(self) -> TargetId:
--- a/hillfield/loadreports/tests/test_pacing.py
+++ b/hillfield/loadreports/tests/test_pacing.py
@@ -125,3 +125,54 @@
     now += 2 * NEAR_GAP
     telling.note(now, ROOM)
     assert telling.near == before + 1
+
+
+def test_who_was_told_by_an_answer_hears_when_it_no_longer_holds():
+    """A node that an answer told of a full target avoided it for seconds."""
+    telling = start()
+    telling.note(10, ROOM)
+    telling.pacer.note_answer(10.1, FULL)
+    assert telling.note(10.2, ROOM) == (2, 1)
+    assert telling.note(10.3, ROOM) == (2, 2)
+    assert telling.note(10.9, ROOM) == (2, 2)
+
+
+def test_an_answer_that_says_what_all_know_is_no_news():
+    telling = start()
+    telling.note(10, ROOM)
+    telling.pacer.note_answer(10.1, replace(ROOM, free=1, number=2))
+    assert telling.note(10.5, ROOM) == (1, 1)
+
+
+def test_room_again_after_an_answer_presses():
+    """It is told with the last datagrams, as after all were told."""
+    telling = start()
+    now = float(10)
+    while telling.pacer.is_due_near(now, ROOM, SLOTS, LISTENERS):
+        telling.pacer.note_answer(now, FULL)
+        now += 2 * NEAR_GAP
+    later = now + LISTENERS / DATAGRAM_RATE
+    assert telling.pacer.is_due_near(later, ROOM, SLOTS, LISTENERS)
+
+
+def test_answers_before_anything_is_told_change_nothing():
+    telling = start()
+    telling.pacer.note_answer(9, FULL)
+    assert telling.note(10, ROOM) == (1, 1)
+
+
+@mark.parametrize('seed', range(10))
+def test_no_answers_make_a_node_send_more_than_its_rate(seed):
+    random = Random(seed)
+    telling = start()
+    now = float()
+    for _ in range(400):
+        now += random.uniform(0, 0.05)
+        report = replace(ROOM, free=random.randrange(2))
+        if random.randrange(2):
+            telling.pacer.note_answer(now, report)
+        else:
+            telling.note(now, report)
+    allowed = DATAGRAM_BURST + DATAGRAM_RATE * now
+    assert telling.near * LISTENERS <= allowed + LISTENERS
+    assert telling.far <= 1 + now / FAR_GAP
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -11,7 +11,7 @@
 from hillfield.clocks import monotonic
 from hillfield.fleet import Fleet, FleetSettings
 from hillfield.fleet.openrelay import OpenRelay
-from hillfield.gate import Gate, GatePlans, Seating
+from hillfield.gate import Gate, GatePlans, Seating, add_room
 from hillfield.hostroutes import RouteTable
 from hillfield.model import Address
 from hillfield.node.calls import CallMeter
@@ -88,7 +88,7 @@
         self.seating = Seating(parts.registry, self.gate)
         self._fittings = fittings
         self._hops = ProxyServer(
-            fittings.hops,
+            add_room(fittings.hops, self.gate),
             GatePlans(self.gate, fittings.checks),
             self.gate,
             recording.journal,
--- a/hillfield/node/reporting.py
+++ b/hillfield/node/reporting.py
@@ -58,6 +58,7 @@
         """Open the socket; raises `OSError` when it can't be had."""
         self.socket.start()
         self._gate.listener = self.note
+        self._gate.on_answer = self._pacer.note_answer
 
     async def stop(self) -> None:
         """Close the socket."""
--- a/hillfield/platform/headers.py
+++ b/hillfield/platform/headers.py
@@ -7,7 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from hillfield.gate import Seat
-from hillfield.model import AnswerChecks, RequestPlan
+from hillfield.model import AnswerChecks, RequestPlan, TargetId
 from hillfield.proxy.dialects import (
     CallerDialect,
     names_request,
@@ -87,6 +87,13 @@
             return Shed(read_retry_after(headers))
         return None
 
+    def read_room(
+        self,
+        target: TargetId,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Return nothing: targets don't tell of their room."""
+
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
         return names_request(request, headers)
--- a/hillfield/proxy/attempts.py
+++ b/hillfield/proxy/attempts.py
@@ -21,7 +21,7 @@
 from hillfield.proxy.sending import Sender
 from hillfield.proxy.signs import expect_sign
 from hillfield.proxy.streams import PromptStream
-from hillfield.proxy.tools import AttemptTools
+from hillfield.proxy.tools import AttemptTools, note_head
 from hillfield.proxy.targetlinks import (
     AnswerReading,
     open_connection,
@@ -110,8 +110,7 @@
         if self.ended or not isinstance(start_line, ResponseStartLine):
             return
         if self.answer.take_head(start_line, headers):
-            dispatching = self._tools.dispatching
-            dispatching.note_head(monotonic(), self.send.attempt)
+            note_head(self._tools, self.send, headers)
             if not self.answer.has_length():
                 self._hold(expired=False)
 
--- a/hillfield/proxy/dialects.py
+++ b/hillfield/proxy/dialects.py
@@ -1,12 +1,14 @@
 """What the headers of callers and of targets mean."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, Protocol
 
 from msgspec import Struct
 from tornado.httputil import HTTPHeaders
 
-from hillfield.model import RequestPlan
+from hillfield.loadreports import LoadReport
+from hillfield.model import RequestPlan, TargetId
 from hillfield.proxy.fields import Fields
 from hillfield.routing.requests import Observation, Send, Shed
 
@@ -17,6 +19,11 @@
 MILLISECONDS: Final = 1000
 
 
+def tell_no_room() -> str:
+    """Return nothing: no gate stands here."""
+    return ''
+
+
 class CallerDialect(Struct, frozen=True):
     """Say how callers and this node speak.
 
@@ -26,7 +33,8 @@
     `removed` the headers that are not passed on (named as tornado normalises
     them), `keeps_ids` says that a request's id is passed on as it came even
     if one like it is in flight, `fractional` that callers understand
-    fractions of a second in `Retry-After`.
+    fractions of a second in `Retry-After`. `tell_room` returns the header that
+    tells them of the room at the host's target (empty: there is none).
     """
 
     deadline: str = DEADLINE
@@ -34,6 +42,7 @@
     removed: frozenset[str] = frozenset()
     keeps_ids: bool = False
     fractional: bool = False
+    tell_room: Callable[[], str] = tell_no_room
 
 
 class TargetDialect(Protocol):
@@ -55,6 +64,13 @@
     ) -> Observation | None:
         """Return what an answer means that no target's work has made."""
 
+    def read_room(
+        self,
+        target: TargetId,
+        headers: HTTPHeaders,
+    ) -> LoadReport | None:
+        """Return what an answer tells of the room at its target, if so."""
+
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
 
@@ -90,6 +106,13 @@
             return None
         return Shed(read_retry_after(headers))
 
+    def read_room(
+        self,
+        target: TargetId,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Return nothing: targets don't tell of their room."""
+
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Believe the connection: these targets answer in order."""
         return True
--- a/hillfield/proxy/replies.py
+++ b/hillfield/proxy/replies.py
@@ -7,6 +7,7 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
+from hillfield.loadreports import ROOM
 from hillfield.model import RequestFailure
 from hillfield.proxy.answers import list_fields, render_body, render_start
 from hillfield.proxy.dialects import CallerDialect
@@ -135,6 +136,9 @@
 
     def _begin(self, fields: Fields) -> None:
         self.begun = True
+        room = self._dialect.tell_room()
+        if room:
+            fields.add(ROOM, room)
         if self.closing or not self.request_read:
             fields.add('Connection', 'close')
 
--- a/hillfield/proxy/tests/conftest.py
+++ b/hillfield/proxy/tests/conftest.py
@@ -75,6 +75,9 @@
     def note_head(self, now, attempt):
         self.seen.append(('head', attempt))
 
+    def adopt_report(self, now, report):
+        self.seen.append(('room', report))
+
     def finish(self, now, attempt, observation):
         stumble(self.failing, 'finish')
         self.seen.append(('finish', attempt, observation))
--- a/hillfield/routing/ports.py
+++ b/hillfield/routing/ports.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from hillfield.loadreports.reports import LoadReport
 from hillfield.model import RequestPlan
 from hillfield.routing.requests import Arrival, Observation, Send, Verdict
 
@@ -18,6 +19,9 @@
     def note_head(self, now: float, attempt: int) -> None:
         """Note that the head of the attempt's answer has come."""
 
+    def adopt_report(self, now: float, report: LoadReport) -> None:
+        """Take what an answer tells of its target's room."""
+
     def note_silent(self, now: float, attempt: int) -> None:
         """Note that the other end gave no sign of life in time."""
 
--- a/hillfield/routing/rooms.py
+++ b/hillfield/routing/rooms.py
@@ -14,7 +14,9 @@
 class Room:
     """Hold the newest report of one target; `free` less what went there.
 
-    `sent` counts what this node has sent there since and not seen end.
+    `sent` counts what this node has sent there since and not seen end, `wait`
+    is the seconds until one more usual request would begin there, `usable` the
+    slots that do useful work (0: not told).
     """
 
     number: int
@@ -22,6 +24,8 @@
     waiting: int
     held: Held
     told: float
+    wait: float = 0
+    usable: int = 0
     sent: int = 0
 
 
@@ -53,6 +57,8 @@
             report.waiting,
             report.held,
             now,
+            report.wait,
+            report.usable,
         )
 
     def take(self, target: TargetId) -> None:
