--- a/hillfield/experiments/calling/tests/test_play.py
+++ b/hillfield/experiments/calling/tests/test_play.py
@@ -12,13 +12,15 @@
 
 WELL = replace(CLAIMS, spells=Spells(9, 0, 0))
 SECONDS = 15
+# One play's loss scatters by 0.04, so that the mean of three says little.
+SEEDS = 12
 # Bytes that may cross in so many seconds.
 MOST_ACROSS = 3_500_000
 
 
 @fixture(scope='module')
 def hanging():
-    return [play(CLAIMS, SECONDS, seed) for seed in range(3)]
+    return [play(CLAIMS, SECONDS, seed) for seed in range(SEEDS)]
 
 
 def test_equal_seeds_give_equal_outcomes(hanging):
--- a/hillfield/proxy/replies.py
+++ b/hillfield/proxy/replies.py
@@ -8,6 +8,7 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine, ResponseStartLine
 
+from hillfield.loadreports import ROOM
 from hillfield.model import RequestFailure
 from hillfield.proxy.answers import list_fields, render_body, render_start
 from hillfield.proxy.dialects import CallerDialect
@@ -99,7 +100,7 @@
         bodiless = answer.start_line.code in _BODILESS or self.method == 'HEAD'
         framed = bodiless or answer.has_length()
         self.writer.chunked = self.chunks and not framed
-        self.begun = True
+        self._begin(fields)
         return self.turn.put(
             partial(self.writer.write_head, answer.start_line, fields, part),
             len(part),
@@ -138,13 +139,19 @@
         self.begun = False
         return True
 
+    def _begin(self, fields: Fields) -> None:
+        self.begun = True
+        room = self._dialect.tell_room()
+        if room:
+            fields.add(ROOM, room)
+
     def _answer(
         self,
         start_line: ResponseStartLine,
         fields: Fields,
         body: bytes,
     ) -> None:
-        self.begun = True
+        self._begin(fields)
         sent = b'' if self.method == 'HEAD' else body
         self.turn.run(
             partial(self.writer.write_whole, start_line, fields, sent),
