Hand work that runs once over in two steps on doubtful ways between nodes

Cause: a connection to another node stays open when its host is cut off or stands still. What was written to it may have run, so work that runs once waited for its deadline and was told unknown though no target had been reached. Now a request that must not run twice is written without its end (a body held back, or a last chunk) where nothing has come on the connection for a second; the gate's library asks for the rest (100), and only then is the attempt noted as written. Silence, a break or the deadline before that is certain not to have run, and it goes elsewhere. Gates need no change, so nodes of both kinds understand each other.

--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -47,6 +47,10 @@
 # request, and within which the node that sent it expects to see that.
 SIGN_AFTER: Final = 0.1
 SIGN_WITHIN: Final = 0.4
+# Seconds without an answer after which a way to a node is doubtful: of the
+# requests that go a way that has just been cut, as few should be in doubt as
+# are under way anyhow, and those take about so long.
+HAND_OVER_AFTER: Final = 1.0
 # Seconds that a connection between nodes is kept while idle.
 HOP_IDLE_SECONDS: Final = 30.0
 # Seconds between the last answer and the end of the process: two of nine
@@ -122,6 +126,7 @@
             pool_idle_timeout=HOP_IDLE_SECONDS,
             gate_port=self._boot.hops.port,
             sign_within=SIGN_WITHIN,
+            hand_over_after=HAND_OVER_AFTER,
             callers=CALLERS,
             targets=HopDialect(),
         )
--- a/hillfield/proxy/attempts.py
+++ b/hillfield/proxy/attempts.py
@@ -2,8 +2,8 @@
 
 from asyncio import get_running_loop
 from collections.abc import Awaitable
-from contextlib import suppress
 from functools import partial
+from http import HTTPStatus
 from typing import Protocol
 
 from tornado.httputil import (
@@ -15,24 +15,13 @@
 
 from hillfield.clocks import monotonic
 from hillfield.proxy.guards import run_guarded
+from hillfield.proxy.handover import Handover
 from hillfield.proxy.incoming import IncomingAnswer
 from hillfield.proxy.orders import Order
 from hillfield.proxy.replies import Reply
-from hillfield.proxy.sending import Sender
-from hillfield.proxy.signs import expect_sign
-from hillfield.proxy.streams import PromptStream
+from hillfield.proxy.targetlinks import read_answer
 from hillfield.proxy.tools import AttemptTools
-from hillfield.proxy.targetlinks import (
-    AnswerReading,
-    open_connection,
-    read_answer,
-)
-from hillfield.routing.requests import (
-    ConnectFailed,
-    NothingWritten,
-    Observation,
-    Send,
-)
+from hillfield.routing.requests import ConnectFailed, Observation, Send
 
 
 class AttemptOwner(Protocol):
@@ -48,14 +37,15 @@
         """Note an error that nobody expected."""
 
 
-class Attempt(AnswerReading):
+class Attempt(Handover):
     """Send a request and take in its answer.
 
-    `written_at` is when the first byte went out (None: none did), `reported` that the
-    dispatcher has been told of the end already, `relay` where the answer
-    goes to once it is relayed in parts.
+    `reported` tells that the dispatcher has been told of the end already,
+    `relay` where the answer goes to once it is relayed in parts.
     """
 
+    owner: AttemptOwner
+
     def __init__(
         self,
         send: Send,
@@ -64,8 +54,7 @@
         owner: AttemptOwner,
     ) -> None:
         """Prepare the attempt; nothing is sent yet."""
-        self.send = send
-        self.written_at: float | None = None
+        super().__init__(send, order, tools)
         self.reported = False
         self.relay: Reply | None = None
         self.answer = IncomingAnswer(
@@ -74,18 +63,13 @@
             tools.settings.targets,
             order.passage.request,
         )
-        self.ended = False
-        self._order = order
-        self._tools = tools
         self.owner = owner
-        self._stream: PromptStream | None = None
-        self._sender: Sender | None = None
 
     def begin(self) -> None:
         """Send at once if a connection is idle; `run` does what is left."""
         stream = self._tools.pool.reuse(self.send.target)
         if stream is not None:
-            self._send(stream)
+            self.hand_over(stream)
 
     async def run(self) -> None:
         """Make the attempt; its end is told to the owner once."""
@@ -95,12 +79,6 @@
             self.cut()
             self.owner.note_stray(error)
 
-    def cut(self) -> None:
-        """End the attempt now; the target sees the connection close."""
-        self.ended = True
-        if self._stream is not None:
-            self._stream.close()
-
     def headers_received(
         self,
         start_line: RequestStartLine | ResponseStartLine,
@@ -114,6 +92,8 @@
             dispatching.note_head(monotonic(), self.send.attempt)
             if not self.answer.has_length():
                 self._hold(expired=False)
+        elif start_line.code == HTTPStatus.CONTINUE:
+            self.go_on()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Take in a part of the body."""
@@ -147,7 +127,7 @@
             # connection could not be told from the rest of it.
             self._stream.close()
         try:
-            self.owner.note_ended(self, observation)
+            self.owner.note_ended(self, self.correct(observation))
         except Exception as error:
             self.owner.note_stray(error)
 
@@ -176,27 +156,7 @@
         elif self.ended:
             self._tools.pool.release(self.send.target, connected.ok)
         else:
-            self._send(connected.ok)
-
-    def _send(self, stream: PromptStream) -> None:
-        if stream.closed():
-            self.end(NothingWritten('connection ended before use'))
-            return
-        self._stream = stream
-        connection = open_connection(stream, self._tools.settings)
-        self._sender = Sender(
-            self._order,
-            connection,
-            self._tools.settings.targets,
-            self.send,
-        )
-        self.written_at = monotonic()
-        dispatching = self._tools.dispatching
-        dispatching.note_written(self.written_at, self.send.attempt)
-        with suppress(StreamClosedError):
-            # Who reads the answer learns of it as well.
-            self._sender.start()
-        expect_sign(self, self._tools, self._order)
+            self.hand_over(connected.ok)
 
     def _hold(self, expired: bool) -> None:
         if self.ended or self.relay is not None:
--- a/hillfield/proxy/failures.py
+++ b/hillfield/proxy/failures.py
@@ -70,7 +70,7 @@
         EventCode.CONNECTIONS_EXHAUSTED,
     )
     DEADLINE_NOT_RUN = (
-        504,
+        503,
         Outcome.NOT_RUN,
         Step.ADMIT,
         EventCode.DEADLINE_PASSED,
--- a/hillfield/proxy/fields.py
+++ b/hillfield/proxy/fields.py
@@ -26,6 +26,10 @@
         """
         self._pairs.append((name, text))
 
+    def drop(self, name: str) -> None:
+        """Take out the fields of a name, which is given as it is written."""
+        self._pairs = [pair for pair in self._pairs if pair[0] != name]
+
     def render(self, first_line: str) -> bytes:
         """Return the bytes of a head."""
         lines = [f'{name}: {text}' for name, text in self._pairs]
--- /dev/null
+++ b/hillfield/proxy/handover.py
@@ -0,0 +1,126 @@
+"""Handing a request over: at once, or in two steps where the way is doubtful.
+
+A connection to another node stays open when its host is cut off, stands still
+or loses power. Of what is written to it nobody knows whether it runs, so work
+that runs once can't be sent elsewhere. On a doubtful connection such a request
+is therefore written without its end, and whole only once the other node has
+asked for the rest. Until then it certainly has not run.
+"""
+
+from asyncio import get_running_loop
+from collections.abc import Callable
+from contextlib import suppress
+
+from tornado.iostream import StreamClosedError
+
+from hillfield.clocks import monotonic
+from hillfield.proxy.orders import Order
+from hillfield.proxy.sending import Sender
+from hillfield.proxy.settings import ProxySettings
+from hillfield.proxy.signs import StrayNoting, expect_sign
+from hillfield.proxy.streams import PromptStream
+from hillfield.proxy.targetlinks import AnswerReading, open_connection
+from hillfield.proxy.tools import AttemptTools
+from hillfield.routing.readings import read_observation
+from hillfield.routing.requests import (
+    Broken,
+    NothingWritten,
+    Observation,
+    Send,
+    TimedOut,
+)
+
+
+class Handover(AnswerReading):
+    """Write one request to a connection.
+
+    `written_at` is when it began to be certain no longer that it has not run
+    (None: it certainly has not).
+    """
+
+    owner: StrayNoting
+
+    def __init__(self, send: Send, order: Order, tools: AttemptTools) -> None:
+        """Prepare; nothing is written yet."""
+        self.send = send
+        self.written_at: float | None = None
+        self.ended = False
+        self._order = order
+        self._tools = tools
+        self._stream: PromptStream | None = None
+        self._sender: Sender | None = None
+
+    def hand_over(self, stream: PromptStream) -> None:
+        """Write the request, or as much as is safe on a doubtful connection."""
+        if stream.closed():
+            self.end(NothingWritten('connection ended before use'))
+            return
+        settings = self._tools.settings
+        self._stream = stream
+        self._sender = Sender(
+            self._order,
+            open_connection(stream, settings),
+            settings.targets,
+            self.send,
+        )
+        if is_doubtful(stream, self._order, settings):
+            self._write(self._sender.announce)
+            return
+        self._note_written()
+        self._write(self._sender.start)
+
+    def go_on(self) -> None:
+        """Write the rest of a request: the other end has asked for it."""
+        held = self.written_at is None and not self.ended
+        if self._stream is None or self._sender is None or not held:
+            return
+        if self._stream.closed():
+            self.end(NothingWritten('connection ended before use'))
+            return
+        # The life that it has shown says nothing of what follows.
+        self.answer.alive = False
+        self._note_written()
+        self._write(self._sender.go_on)
+
+    def end(self, observation: Observation) -> None:
+        """Note the end, once; the owner is told."""
+
+    def cut(self) -> None:
+        """End the attempt now; the target sees the connection close."""
+        self.ended = True
+        if self._stream is not None:
+            self._stream.close()
+
+    def correct(self, observation: Observation) -> Observation:
+        """Return what an end means: before all was written nothing has run."""
+        doubtful = isinstance(observation, (Broken, TimedOut))
+        if self.written_at is None and doubtful:
+            return NothingWritten(read_observation(observation).detail)
+        return observation
+
+    def _note_written(self) -> None:
+        self.written_at = monotonic()
+        dispatching = self._tools.dispatching
+        dispatching.note_written(self.written_at, self.send.attempt)
+
+    def _write(self, action: Callable[[], None]) -> None:
+        """Write a part, and expect a sign of life."""
+        with suppress(StreamClosedError):
+            # Who reads the answer learns of it as well.
+            action()
+        expect_sign(self, self._tools, self._order)
+
+
+def is_doubtful(
+    stream: PromptStream,
+    order: Order,
+    settings: ProxySettings,
+) -> bool:
+    """Tell whether a request should be handed over in two steps."""
+    after = settings.hand_over_after
+    if after is None or order.plan.idempotent:
+        return False
+    if order.start_line.method == 'HEAD':
+        # Its answer has no body, whatever tornado's rules for the rest are.
+        return False
+    return get_running_loop().time() - stream.proven_at >= after
--- a/hillfield/proxy/pool.py
+++ b/hillfield/proxy/pool.py
@@ -42,7 +42,8 @@
             return
         if stream.closed():
             return
-        links.append(IdleLink(stream, get_running_loop().time()))
+        stream.proven_at = get_running_loop().time()
+        links.append(IdleLink(stream, stream.proven_at))
 
     def retire(self, target: TargetId) -> None:
         """Close a target's idle connections; those in use are not cut."""
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -13,6 +13,7 @@
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.orders import Order, describe_likeness
 from hillfield.proxy.tools import AttemptTools
+from hillfield.routing.declining import Declined
 from hillfield.routing.ports import Dispatching
 from hillfield.routing.requests import (
     CallerGone,
@@ -28,6 +29,7 @@
 # Seconds after which a second attempt that found neither target nor budget is
 # tried again: slots come free about so often.
 HEDGE_AGAIN: Final = 0.1
+_SURELY_NOT_RUN: Final = (Shed, Declined)
 
 
 class RunningAttempts:
@@ -108,7 +110,7 @@
         self._reason = type(observation).__name__
         if attempt.written_at is not None:
             self.target_seconds += now - attempt.written_at
-            self.may_have_run |= not isinstance(observation, Shed)
+            self.may_have_run |= not isinstance(observation, _SURELY_NOT_RUN)
         return self._dispatching.finish(
             now,
             attempt.send.attempt,
--- a/hillfield/proxy/sending.py
+++ b/hillfield/proxy/sending.py
@@ -1,6 +1,7 @@
 """A request's way onto a connection to a target."""
 
 from asyncio import Task, create_task
+from typing import Final
 
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
@@ -11,9 +12,16 @@
 from hillfield.proxy.orders import Order, list_fields
 from hillfield.routing.requests import Send
 
+_LAST_CHUNK: Final = b'0\r\n\r\n'
+
 
 class Sender:
-    """Write one request; `sent` tells that all of it has been handed over."""
+    """Write one request; `sent` tells that all of it has been handed over.
+
+    It is written by `start`, or by `announce` and `go_on`: first the head, so
+    framed that the request is not whole without the rest, which the other end
+    asks for. Until then it can't have been passed on.
+    """
 
     def __init__(
         self,
@@ -33,12 +41,7 @@
     def start(self) -> None:
         """Write the head, and the body as far as it is there."""
         order = self._order
-        fields = list_fields(
-            order,
-            self._dialect,
-            self._send,
-            order.expires - monotonic(),
-        )
+        fields = self._list_fields()
         if order.body.streamed:
             self._write_head(fields)
             self._writer = create_task(self._write_body())
@@ -47,7 +50,31 @@
             # tornado has to know that the answer has no body.
             self._write_head(fields)
         else:
-            self._write_whole(fields)
+            head = self._render(fields)
+            self.connection.stream.write(head + order.body.join())
+        self._finish()
+
+    def announce(self) -> None:
+        """Write a head that asks whether the rest may follow."""
+        body = self._order.body
+        fields = self._list_fields()
+        fields.add('Expect', '100-continue')
+        if body.streamed:
+            self._write_head(fields)
+            return
+        if not body.size:
+            # A request without a body would be whole with its head.
+            fields.drop('Content-Length')
+            fields.add('Transfer-Encoding', 'chunked')
+        self.connection.stream.write(self._render(fields))
+
+    def go_on(self) -> None:
+        """Write what follows the head: from now on the request may run."""
+        body = self._order.body
+        if body.streamed:
+            self._writer = create_task(self._write_body())
+            return
+        self.connection.stream.write(body.join() or _LAST_CHUNK)
         self._finish()
 
     def stop(self) -> None:
@@ -55,17 +82,25 @@
         if self._writer is not None:
             self._writer.cancel()
 
+    def _list_fields(self) -> Fields:
+        order = self._order
+        return list_fields(
+            order,
+            self._dialect,
+            self._send,
+            order.expires - monotonic(),
+        )
+
+    def _render(self, fields: Fields) -> bytes:
+        line = self._order.start_line
+        return fields.render(f'{line.method} {line.path} HTTP/1.1')
+
     def _write_head(self, fields: Fields) -> None:
         self.connection.write_headers(
             self._order.start_line,
             fields.to_headers(),
         )
 
-    def _write_whole(self, fields: Fields) -> None:
-        line = self._order.start_line
-        head = fields.render(f'{line.method} {line.path} HTTP/1.1')
-        self.connection.stream.write(head + self._order.body.join())
-
     async def _write_body(self) -> None:
         body = self._order.body
         part = await body.take()
--- a/hillfield/proxy/settings.py
+++ b/hillfield/proxy/settings.py
@@ -16,7 +16,10 @@
     `gate_port` is where the nodes beside the targets take requests for them
     (None: targets are reached directly). Where `sign_after` is set, a request
     that is not answered by then gets an interim answer as a sign of life;
-    where `sign_within` is set, one is expected of the other end.
+    where `sign_within` is set, one is expected of the other end. A connection
+    on which nothing has come for `hand_over_after` is doubtful: the head of a
+    request that must not run twice goes ahead of it, and the rest follows when
+    the other end has asked for it (None: never).
     """
 
     address: Address
@@ -41,5 +44,6 @@
     gate_port: int | None = None
     sign_after: float = 0
     sign_within: float = 0
+    hand_over_after: float | None = None
     callers: CallerDialect = CallerDialect()
     targets: TargetDialect = field(default_factory=OwnDialect)
--- a/hillfield/proxy/signs.py
+++ b/hillfield/proxy/signs.py
@@ -25,6 +25,7 @@
     send: Send
     ended: bool
     answer: IncomingAnswer
+    written_at: float | None
 
     @property
     def owner(self) -> StrayNoting:
@@ -44,7 +45,13 @@
 ) -> None:
     """Look for a sign of life in time, where the other end sends them."""
     if tools.settings.sign_within:
-        looking = partial(look_for_sign, attempt, tools, order)
+        looking = partial(
+            look_for_sign,
+            attempt,
+            tools,
+            order,
+            attempt.written_at,
+        )
         # Shared: most answers come before it, and need no wake-up then.
         find_timer().after(
             tools.settings.sign_within,
@@ -56,15 +63,21 @@
     attempt: Attempting,
     tools: AttemptTools,
     order: Order,
+    written_at: float | None,
 ) -> None:
     """Leave a silent way alone; what may run again goes elsewhere at once.
 
-    Other work waits on: it may run there, so it must not run twice.
+    Other work waits on once it has been handed over: it may run there, so it
+    must not run twice. `written_at` tells whether it had been by the time of
+    what should have been followed by a sign.
     """
     if attempt.ended or attempt.answer.alive:
         return
+    if attempt.written_at != written_at:
+        return
     tools.pool.drop(attempt.send.target)
     tools.dispatching.note_silent(monotonic(), attempt.send.attempt)
-    if order.plan.idempotent and not order.body.streamed:
+    repeatable = order.plan.idempotent and not order.body.streamed
+    if repeatable or attempt.written_at is None:
         attempt.end(Broken('no sign of life'))
         attempt.cut()
--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -43,6 +43,8 @@
             read_chunk_size=settings.part_size,
         )
         self.settings = settings
+        # Loop seconds at which its last exchange ended well.
+        self.proven_at = float('-inf')
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def set_nodelay(self, value: bool) -> None:  # noqa: WPS110 tornado's name
--- a/hillfield/proxy/tests/conftest.py
+++ b/hillfield/proxy/tests/conftest.py
@@ -75,6 +75,9 @@
     def note_head(self, now, attempt):
         self.seen.append(('head', attempt))
 
+    def note_silent(self, now, attempt):
+        self.seen.append(('silent', attempt))
+
     def finish(self, now, attempt, observation):
         stumble(self.failing, 'finish')
         self.seen.append(('finish', attempt, observation))
