--- a/hillfield/proxy/signs.py
+++ b/hillfield/proxy/signs.py
@@ -76,8 +76,11 @@
     if attempt.written_at != written_at:
         return
     tools.pool.drop(attempt.send.target)
-    tools.dispatching.note_silent(monotonic(), attempt.send.attempt)
+    held = attempt.written_at is None
+    if not held:
+        # The end of what was held back says as much by itself.
+        tools.dispatching.note_silent(monotonic(), attempt.send.attempt)
     repeatable = order.plan.idempotent and not order.body.streamed
-    if repeatable or attempt.written_at is None:
+    if held or repeatable:
         attempt.end(Broken('no sign of life'))
         attempt.cut()
