--- a/hillfield/proxy/settings.py
+++ b/hillfield/proxy/settings.py
@@ -17,10 +17,13 @@
     `gate_port` is where the nodes beside the targets take requests for them
     (None: targets are reached directly). Where `sign_after` is set, a request
     that is not answered by then gets an interim answer as a sign of life;
-    where `sign_within` is set, one is expected of the other end. Of the
-    requests of one connection, `pipeline_depth` run side by side: callers that
-    send further ones before the first is answered send a few at once. The
-    servers of a node share one `budget` of bytes held.
+    where `sign_within` is set, one is expected of the other end. A connection
+    on which nothing has come for `hand_over_after` is doubtful: the head of a
+    request that must not run twice goes ahead of it, and the rest follows when
+    the other end has asked for it (None: never). Of the requests of one
+    connection, `pipeline_depth` run side by side: callers that send further
+    ones before the first is answered send a few at once. The servers of a node
+    share one `budget` of bytes held.
     """
 
     address: Address
@@ -45,6 +48,7 @@
     gate_port: int | None = None
     sign_after: float = 0
     sign_within: float = 0
+    hand_over_after: float | None = None
     pipeline_depth: int = 4
     budget: ByteBudget = field(default_factory=make_budget)
     callers: CallerDialect = CallerDialect()
--- a/hillfield/proxy/tests/conftest.py
+++ b/hillfield/proxy/tests/conftest.py
@@ -78,6 +78,9 @@
     def adopt_report(self, now, report):
         self.seen.append(('room', report))
 
+    def note_silent(self, now, attempt):
+        self.seen.append(('silent', attempt))
+
     def finish(self, now, attempt, observation):
         stumble(self.failing, 'finish')
         self.seen.append(('finish', attempt, observation))
