Let retries and hedges draw on the fleet's bound on repeats

Where the settings hold ratio, window and slack, RetryBudget asks a port for tokens: retries after sheds first, then those of what failed, hedges last. Tries that could not be sent and declines need none. Requests with a client account deposit; others once their route is proven to be a client's. A gate is told which attempts are repeats, so that calls of repeated runs count at the called service. Counter hillfield_repeats, events 3523 and 3524; event 3520 means there that a retry was refused. Small installations of the platform's tests now hold all three settings, as deployments do.

--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -49,7 +49,7 @@
     target; `urgency`: which targets it takes. `route` and `aim`, the seconds
     in which an answer is worth most, tell how long it should take; `spent`
     are the seconds since it was first sent, `account` is whose request it is
-    (empty: nobody's).
+    (empty: nobody's), `repeat` that a target may have seen it before.
     """
 
     service: str
@@ -63,6 +63,7 @@
     aim: float = 0
     spent: float = 0
     account: str = ''
+    repeat: bool = False
 
 
 _ENCODER: Final = Encoder()
@@ -73,7 +74,7 @@
     """Return the header's text.
 
     >>> write_hop(HopOrder('claims', 7, 1, 'desk', True))
-    '["claims",7,1,"desk",true,false,0,"",0,0,""]'
+    '["claims",7,1,"desk",true,false,0,"",0,0,"",false]'
     >>> read_hop(write_hop(HopOrder('leit', 7, 1, 'skrá'))).ok.origin
     'skrá'
     """
@@ -118,6 +119,7 @@
             plan.aim,
             send.spent,
             plan.account,
+            send.repeat,
         )
         fields.add(HOP, write_hop(order))
 
--- a/hillfield/gate/plans.py
+++ b/hillfield/gate/plans.py
@@ -69,6 +69,7 @@
             urgency=order.urgency,
             aim=order.aim,
             spent=order.spent,
+            repeat=order.repeat,
         )
 
 
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -40,7 +40,8 @@
     `priority` ranks requests that wait (0 goes first), `origin` is the
     service on whose host the request began (empty: not known), `trial`
     `urgency` and `spent` (seconds since it was first sent) what the node
-    where it began says of this attempt,
+    where it began says of this attempt, as `repeat` (a target may have seen
+    it before),
     `aim` the time in which an answer is worth most (0: not known).
     """
 
@@ -58,6 +59,7 @@
     urgency: Urgency = Urgency.CHOOSY
     aim: float = 0
     spent: float = 0
+    repeat: bool = False
 
 
 class ServicePolicy(Struct, frozen=True):
--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -20,6 +20,12 @@
 
 HOST = 'till.example'
 PATIENCE = 15
+BOUNDS = (
+    'graceS=6',
+    'retryBudgetRatio=0.2',
+    'retryWindowS=10',
+    'retryBudgetSlack=60',
+)
 LIMITS = MappingProxyType(
     {
         'maxHeaderBytes': 16384,
@@ -241,7 +247,7 @@
                 },
                 'internalPorts': [base, base + 3],
                 'heartbeatS': 0.3,
-                'bounds': ['graceS=6', 'retryBudgetRatio=0.2'],
+                'bounds': BOUNDS,
                 'service': host.target.service,
                 'appAddr': str(host.target.address),
                 'platform': {'address': str(self.store_address)},
--- a/hillfield/routing/dispatcher.py
+++ b/hillfield/routing/dispatcher.py
@@ -6,6 +6,7 @@
 from hillfield.events import EventCode, Occurrence
 from hillfield.loadreports.reports import LoadReport
 from hillfield.model import Locality, ServicePolicy, Target
+from hillfield.repeats import RepeatTokens
 from hillfield.routing.admission import admit, serve_queue
 from hillfield.routing.explanations import RoutingExplanation, explain_service
 from hillfield.routing.hedging import Hedges
@@ -30,9 +31,15 @@
         locality: Locality,
         board: Board,
         random: Random,
+        tokens: RepeatTokens | None = None,
     ) -> None:
-        """Start without targets; `random` is seeded by the caller."""
-        super().__init__(open_service(policy, locality, board, random))
+        """Start without targets; `random` is seeded by the caller.
+
+        `tokens` are asked for repeats where the whole fleet has a bound.
+        """
+        super().__init__(
+            open_service(policy, locality, board, random, tokens),
+        )
         self._locality = locality
         self._overloaded = False
         self._starved = False
@@ -134,7 +141,7 @@
             if overloaded:
                 code = EventCode.OVERLOAD_STARTED
             occurrences.append(Occurrence(code, service=name))
-        starved = not self._service.budget.retries.can_take()
+        starved = self._service.budget.find_starved()
         if starved and not self._starved:
             code = EventCode.RETRY_BUDGET_EMPTY
             occurrences.append(Occurrence(code, service=name))
