Let a node that has just heard others repeat once

A node repeated nothing in its first 1.5 s, since it doesn't know then how many nodes share the slack. The deaf host's own target can then be among the three that end, which nobody else can know.

--- a/hillfield/repeats/local.py
+++ b/hillfield/repeats/local.py
@@ -29,8 +29,10 @@
 SPARE: Final = 2
 # Own repeats that hedges leave to others.
 OWN_KEPT: Final = 1
-# Seconds after the start in which a node doesn't know yet how many there are.
+# Seconds after the start in which a node doesn't know yet how many there are,
+# and the most that it repeats until then.
 JOINING: Final = 1.5
+OWN_JOINING: Final = 1
 # Routes of one service that are reported; requests of more deposit nothing.
 ROUTES_REPORTED: Final = 16
 
@@ -216,11 +218,11 @@
 
     def _has_own(self, use: _Use, now: float, kind: RepeatKind) -> bool:
         age = self.age(now)
-        if age < JOINING:
-            return False
         own = self._bound.find_own(self._nodes)
         if age < self._bound.window:
             own = self._bound.find_fresh(self._nodes)
+        if age < JOINING:
+            own = min(own, OWN_JOINING if self._nodes > 1 else 0)
         if kind is RepeatKind.HEDGE:
             own -= OWN_KEPT
         return use.own.count(now) < own
