--- a/hillfield/node/repeats.py
+++ b/hillfield/node/repeats.py
@@ -27,6 +27,7 @@
     Roster,
     UseRow,
 )
+from hillfield.repeats.lenders import RESTORED
 from hillfield.timers import Appointment, find_timer
 
 # Seconds between looks at what is to be reported.
@@ -152,9 +153,9 @@
         roster = self._find_roster(now, core)
         loans = self._lenders.take(now, report, roster)
         for row in self._lenders.list_changes(report, loans):
-            code = EventCode.REPEATS_RESTORED
-            if not row.room:
-                code = EventCode.REPEATS_EXHAUSTED
+            code = EventCode.REPEATS_EXHAUSTED
+            if row.room >= RESTORED:
+                code = EventCode.REPEATS_RESTORED
             told = Occurrence(code, service=row.service)
             self._journal.record(told)
         return loans
--- a/hillfield/repeats/bounds.py
+++ b/hillfield/repeats/bounds.py
@@ -17,6 +17,8 @@
 # the better uneven demand is met, and the less is left while nodes are silent.
 MOST_SHARE: Final = 2
 LEAST_MOST: Final = 2
+# Where less than this part of a bound is not spent, it counts as used up.
+SHORT: Final = 0.05
 # Of the window, for how long what is lent may be used.
 LOAN_SHARE: Final = 0.2
 
--- a/hillfield/repeats/kinds.py
+++ b/hillfield/repeats/kinds.py
@@ -4,6 +4,8 @@
 from types import MappingProxyType
 from typing import Final, Protocol
 
+from hillfield.repeats.bounds import SHORT
+
 
 class RepeatKind(StrEnum):
     """Say why a request is sent once more.
@@ -17,13 +19,14 @@
     HEDGE = 'hedge'
 
 
-# The part of a service's bound that has to be left for a repeat of the kind.
+# The part of a service's bound that must not be spent yet for a repeat of the
+# kind.
 # What a target has said not to have run is lost without its repeat, whatever
 # the route; a hedge only shortens a wait, and must never starve a retry.
 LEAST_ROOM: Final = MappingProxyType[RepeatKind, float](
     {
         RepeatKind.SHED: 0,
-        RepeatKind.FAILED: 0.05,
+        RepeatKind.FAILED: SHORT,
         RepeatKind.HEDGE: 0.4,
     },
 )
--- a/hillfield/repeats/lenders.py
+++ b/hillfield/repeats/lenders.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from hillfield.repeats.bounds import RepeatBound
+from hillfield.repeats.bounds import SHORT, RepeatBound
 from hillfield.repeats.lending import Lender
 from hillfield.repeats.messages import LoanRow, Report
 from hillfield.repeats.roster import Roster
@@ -51,9 +51,13 @@
                 if row.room >= RESTORED:
                     self._exhausted.remove(row.service)
                     yield row
-            elif row.service in asking and not row.room:
+            elif row.service in asking and _is_short(row):
                 self._exhausted.add(row.service)
                 yield row
 
     def _find(self, service: str) -> Lender:
         return self._lenders.setdefault(service, Lender(self._bound))
+
+
+def _is_short(row: LoanRow) -> bool:
+    return not row.held and row.room < SHORT
--- a/hillfield/repeats/lending.py
+++ b/hillfield/repeats/lending.py
@@ -37,8 +37,10 @@
 SETTLED: Final = 2 * REPORT_KEPT
 # Seconds between looks for reports that have grown old.
 SWEEP_GAP: Final = 0.25
-# Part of the bound that has to be left for repeats that a node only keeps by.
-SPARE_ROOM: Final = 0.5
+# Parts of the bound that have to be left for a repeat that a node only keeps
+# by, and for several: what lies at nodes that don't need it is soon asked back.
+SPARE_ROOM: Final = 0.15
+AMPLE_ROOM: Final = 0.5
 
 
 @dataclass(slots=True)
@@ -85,6 +87,12 @@
         older = sum(requests[SLOTS:])
         return bound.find_pool(nodes) + bound.ratio * max(newer, older)
 
+    def find_unspent(self, whole: float) -> float:
+        """Return the part of a whole bound that isn't spent."""
+        spent = sum(self.sums.list_spent())
+        used = spent / max(1, whole)
+        return round(max(0, 1 - used), 2)
+
     def find_left(self, bound: RepeatBound, nodes: int) -> float:
         """Return what may be lent beyond what is held."""
         sums = self.sums
@@ -186,14 +194,11 @@
         whole = tally.find_whole(self._bound, roster.size)
         room = tally.find_left(self._bound, roster.size) + row.held
         before = sum(row.spent) + borrower.find_former(now, tally.most)
-        wanted = row.needed
-        if room > SPARE_ROOM * whole:
-            wanted += row.spare
+        wanted = row.needed + _allow_spare(row.spare, room, whole)
         bounds = (wanted, tally.most - before, int(room))
         held = max(0, min(bounds))
         self._note_lent(borrower, held)
-        left = max(0, room - held) / max(1, whole)
-        return LoanRow(row.service, row.number, held, round(left, 2))
+        return LoanRow(row.service, row.number, held, tally.find_unspent(whole))
 
     def _note_lent(self, borrower: _Borrower, held: int) -> None:
         """Count a loan; its answer may be lost, so what was held counts too."""
@@ -251,6 +256,13 @@
                 self._borrowers.pop(name)
 
 
+def _allow_spare(spare: int, room: float, whole: float) -> int:
+    """Return how many repeats a node may keep by."""
+    if room > AMPLE_ROOM * whole:
+        return spare
+    return min(spare, 1) if room > SPARE_ROOM * whole else 0
+
+
 def _is_old(found: _Borrower | None, report: Report, row: UseRow) -> bool:
     """Tell whether a newer report of this life has come."""
     if found is None or found.life != report.life:
--- a/hillfield/repeats/local.py
+++ b/hillfield/repeats/local.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from hillfield.repeats.bounds import RepeatBound
+from hillfield.repeats.bounds import SHORT, RepeatBound
 from hillfield.repeats.history import Arrivals, Spending
 from hillfield.repeats.kinds import LEAST_ROOM, RepeatKind
 from hillfield.repeats.lending import REPORT_KEPT
@@ -26,7 +26,7 @@
 # Reports' time that what a node asks for lasts: until the next answer.
 LOOK_AHEAD: Final = 2.0
 # Repeats that a node keeps by, so that a first failure waits for no answer.
-SPARE: Final = 2
+SPARE: Final = 3
 # Own repeats that hedges leave to others.
 OWN_KEPT: Final = 1
 # Seconds after the start in which a node doesn't know yet how many there are,
@@ -255,7 +255,7 @@
 def _is_due(now: float, use: _Use, nodes: int) -> bool:
     gap = USUAL_GAP
     if use.demand.tried and not use.loan.held:
-        gap = BUSY_GAP if use.loan.room else SHORT_GAP
+        gap = BUSY_GAP if use.loan.room > SHORT else SHORT_GAP
     crowded = min(USUAL_GAP, nodes / REPORTS_HEARD)
     return now - use.loan.asked >= max(gap, crowded)
 
--- a/hillfield/repeats/messages.py
+++ b/hillfield/repeats/messages.py
@@ -41,7 +41,7 @@
     """Say what a node may use of one service's bound.
 
     `number` is that of the report that it answers, `held` how many repeats
-    may be made since that, `room` the part of the bound that is left.
+    may be made since that, `room` the part of the bound that isn't spent.
     """
 
     service: str
