Let an emulated target open again while it still closes

Cause: a close now takes turns of the loop, and a target that flaps may be opened within them; it then bound its address a second time (one red run of test_a_target_that_flaps_between_refusing_and_serving, address already in use). The last wish counts now, and only requests of the closing socket are cut. The test failed before. Ruled out: the address of another test, as ports are drawn.

--- a/hillfield/emulator/accepting.py
+++ b/hillfield/emulator/accepting.py
@@ -37,6 +37,10 @@
         self._streams: WeakKeyDictionary[IOStream, int] = WeakKeyDictionary()
         self._remove = add_accept_handler(listening, self._accept)
 
+    def has_accepted(self, stream: IOStream) -> bool:
+        """Tell whether a connection came by this socket."""
+        return stream in self._streams
+
     async def close(self, is_serving: IsServing) -> None:
         """Refuse new connections, and return once all else is closed.
 
--- a/hillfield/emulator/listener.py
+++ b/hillfield/emulator/listener.py
@@ -58,7 +58,8 @@
         """Close, and keep the port so that `open` finds it free."""
         if self._server:
             await self.close()
-            self._holder = self._bind()
+            if not self.is_open:
+                self._holder = self._bind()
 
     async def close(self) -> None:
         """Stop listening and cut all connections; safe to repeat."""
@@ -74,8 +75,9 @@
         # they may have run.
         await accepting.close(self._is_serving)
         for task, request in tuple(self._serving.items()):
+            own = accepting.has_accepted(find_connection(request).stream)
             # The request that asked for closing goes on to its end.
-            if task is not current_task():
+            if own and task is not current_task():
                 cut(request)
                 task.cancel()
         await server.close_all_connections()
--- a/hillfield/emulator/tests/test_listener.py
+++ b/hillfield/emulator/tests/test_listener.py
@@ -68,6 +68,19 @@
     return {link.getsockname()}
 
 
+async def test_it_may_be_opened_again_while_it_closes():
+    """A target that flaps ended with an address that was in use."""
+    async with listen(Begun()) as listener:
+        kept = connect(listener)
+        closing = asyncio.create_task(listener.refuse())
+        await asyncio.sleep(0)
+        listener.open()
+        await closing
+        assert listener.is_open
+        assert is_open(connect(listener))
+        assert not is_open(kept)
+
+
 async def test_what_was_written_before_it_closes_begins():
     begun = Begun()
     async with listen(begun) as listener:
