Hand all work over in two steps on doubtful ways between nodes

Cause: most requests that were told 502 though no target had been reached may run again: their hop showed no sign of life, that counted as a run in doubt, and the budget of repeats was empty. What was not handed over has not run, so sending it elsewhere is no repeat and leaves the budget alone.

--- a/hillfield/proxy/handover.py
+++ b/hillfield/proxy/handover.py
@@ -1,10 +1,11 @@
 """Handing a request over: at once, or in two steps where the way is doubtful.
 
 A connection to another node stays open when its host is cut off, stands still
-or loses power. Of what is written to it nobody knows whether it runs, so work
-that runs once can't be sent elsewhere. On a doubtful connection such a request
-is therefore written without its end, and whole only once the other node has
-asked for the rest. Until then it certainly has not run.
+or loses power. Of what is written to it nobody knows whether it runs: work that
+runs once can't be sent elsewhere then, and other work only as a repeat, of which
+few may be sent. On a doubtful connection a request is therefore written without
+its end, and whole only once the other node has asked for the rest. Until then
+it certainly has not run, and sending it elsewhere is no repeat.
 """
 
 from asyncio import get_running_loop
@@ -65,9 +66,10 @@
         )
         if is_doubtful(stream, self._order, settings):
             self._write(self._sender.announce)
-            return
-        self._note_written()
-        self._write(self._sender.start)
+        else:
+            self._note_written()
+            self._write(self._sender.start)
+        expect_sign(self, self._tools, self._order)
 
     def go_on(self) -> None:
         """Write the rest of a request: the other end has asked for it."""
@@ -77,8 +79,6 @@
         if self._stream.closed():
             self.end(NothingWritten('connection ended before use'))
             return
-        # The life that it has shown says nothing of what follows.
-        self.answer.alive = False
         self._note_written()
         self._write(self._sender.go_on)
 
@@ -104,11 +104,9 @@
         dispatching.note_written(self.written_at, self.send.attempt)
 
     def _write(self, action: Callable[[], None]) -> None:
-        """Write a part, and expect a sign of life."""
         with suppress(StreamClosedError):
             # Who reads the answer learns of it as well.
             action()
-        expect_sign(self, self._tools, self._order)
 
 
 def is_doubtful(
@@ -118,7 +116,7 @@
 ) -> bool:
     """Tell whether a request should be handed over in two steps."""
     after = settings.hand_over_after
-    if after is None or order.plan.idempotent:
+    if after is None:
         return False
     if order.start_line.method == 'HEAD':
         # Its answer has no body, whatever tornado's rules for the rest are.
--- a/hillfield/proxy/settings.py
+++ b/hillfield/proxy/settings.py
@@ -18,8 +18,8 @@
     that is not answered by then gets an interim answer as a sign of life;
     where `sign_within` is set, one is expected of the other end. A connection
     on which nothing has come for `hand_over_after` is doubtful: the head of a
-    request that must not run twice goes ahead of it, and the rest follows when
-    the other end has asked for it (None: never).
+    request goes ahead of it there, and the rest follows when the other end has
+    asked for it (None: never).
     """
 
     address: Address
--- a/hillfield/proxy/signs.py
+++ b/hillfield/proxy/signs.py
@@ -45,13 +45,7 @@
 ) -> None:
     """Look for a sign of life in time, where the other end sends them."""
     if tools.settings.sign_within:
-        looking = partial(
-            look_for_sign,
-            attempt,
-            tools,
-            order,
-            attempt.written_at,
-        )
+        looking = partial(look_for_sign, attempt, tools, order)
         # Shared: most answers come before it, and need no wake-up then.
         find_timer().after(
             tools.settings.sign_within,
@@ -63,18 +57,14 @@
     attempt: Attempting,
     tools: AttemptTools,
     order: Order,
-    written_at: float | None,
 ) -> None:
     """Leave a silent way alone; what may run again goes elsewhere at once.
 
     Other work waits on once it has been handed over: it may run there, so it
-    must not run twice. `written_at` tells whether it had been by the time of
-    what should have been followed by a sign.
+    must not run twice.
     """
     if attempt.ended or attempt.answer.alive:
         return
-    if attempt.written_at != written_at:
-        return
     tools.pool.drop(attempt.send.target)
     held = attempt.written_at is None
     if not held:
