--- a/hillfield/proxy/settings.py
+++ b/hillfield/proxy/settings.py
@@ -19,11 +19,11 @@
     that is not answered by then gets an interim answer as a sign of life;
     where `sign_within` is set, one is expected of the other end. A connection
     on which nothing has come for `hand_over_after` is doubtful: the head of a
-    request that must not run twice goes ahead of it, and the rest follows when
-    the other end has asked for it (None: never). Of the requests of one
-    connection, `pipeline_depth` run side by side: callers that send further
-    ones before the first is answered send a few at once. The servers of a node
-    share one `budget` of bytes held.
+    request goes ahead of it there, and the rest follows when the other end has
+    asked for it (None: never). Of the requests of one connection,
+    `pipeline_depth` run side by side: callers that send further ones before the
+    first is answered send a few at once. The servers of a node share one
+    `budget` of bytes held.
     """
 
     address: Address
