Serve the more urgent first at the gate, and accounts in turn

A short request went before a more urgent one, a gate full of less urgent work declined urgent work, and an account that asked everywhere took what it asked for. The order is now lateness, priority, the account's part, length, expiry; only what goes before a newcomer counts for its wait, and the last in rank makes way. Ruled out: a part for each origin, which favours crowds without keys.

--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -5,7 +5,8 @@
 from msgspec.structs import replace
 
 from hillfield.events import EventCode
-from hillfield.gate.queue import Rank
+from hillfield.gate.order import Rank
+from hillfield.gate.shares import is_foreign
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
 from hillfield.model import Step, Target, Urgency
@@ -47,6 +48,7 @@
 DOUBTED: Final = _describe('the target is suspected')
 FULL: Final = _describe('all slots are taken')
 LATE: Final = _describe('no slot was free in time')
+OUTRANKED: Final = _describe('others go first')
 
 
 def admit(state: GateState, now: float, arrival: Arrival) -> Verdict:
@@ -68,14 +70,16 @@
     target = state.target
     if target is None:
         waiting = state.queue.take_all()
-        return tuple(state.refuse(record, LEFT) for record in waiting)
+        left = tuple(state.refuse(record, LEFT) for record in waiting)
+        return (*state.take_declined(), *left)
     verdicts: list[Verdict] = [
         state.refuse(record, LATE)
         for record in state.queue.take_late(now, find_need(state))
     ]
     while len(state.queue) and state.in_flight < target.slots:
-        verdicts.append(_serve(state, now, state.queue.pop(), target))
-    return tuple(verdicts)
+        record = state.queue.pop(state.shares.read(now))
+        verdicts.append(_serve(state, now, record, target))
+    return (*state.take_declined(), *verdicts)
 
 
 def find_need(state: GateState) -> float:
@@ -83,10 +87,18 @@
     return state.latency.mean or FIRST_NEED
 
 
-def find_wait(state: GateState, target: Target) -> float:
-    """Return the seconds that one more would wait for a slot."""
-    ahead = len(state.queue) + 1
-    return ahead * find_need(state) / count_usable(state, target)
+def find_wait(
+    state: GateState,
+    target: Target,
+    ahead: int | None = None,
+) -> float:
+    """Return the seconds that one more would wait for a slot.
+
+    `ahead` is how many go before it (None: all that wait, as before one of
+    the lowest rank).
+    """
+    before = len(state.queue) if ahead is None else ahead
+    return (before + 1) * find_need(state) / count_usable(state, target)
 
 
 def count_usable(state: GateState, target: Target) -> int:
@@ -149,27 +161,54 @@
     record: RequestRecord,
     target: Target,
 ) -> Verdict:
-    wait = find_wait(state, target)
+    rank, wait = _rank(state, now, record, target)
     bound = _find_bound(state, now, record)
     if wait > bound:
         return state.refuse(record, replace(FULL, retry_after=wait))
     record.follow(RequestTrigger.QUEUE)
     record.queued_at = now
-    rank = _rank(state, now, record, wait)
     state.queue.push(record, rank, now + bound)
+    _make_way(state, now, target)
     return Wait(record.arrival.request)
 
 
+def _make_way(state: GateState, now: float, target: Target) -> None:
+    """Decline the last in rank if its turn now comes too late.
+
+    Told at once, its caller's node has time for another target.
+    """
+    last = state.queue.find_last(state.shares.read(now))
+    if last is None:
+        return
+    ahead, place = last
+    wait = find_wait(state, target, ahead)
+    if now + wait > place.until:
+        state.queue.remove(place.record)
+        cause = replace(OUTRANKED, retry_after=wait)
+        state.declined.append(state.refuse(place.record, cause))
+
+
 def _rank(
     state: GateState,
     now: float,
     record: RequestRecord,
-    wait: float,
-) -> Rank:
-    """Return when a request's turn is, if it may wait so long."""
+    target: Target,
+) -> tuple[Rank, float]:
+    """Return what counts for a request's turn, and the seconds until then."""
     plan = record.arrival.plan
+    parts = state.shares.read(now)
     usual = state.durations.find(plan).find_quantile(0)
-    expected = plan.spent + wait + usual
-    late = bool(plan.aim) and expected > plan.aim
-    quick = state.durations.is_quick(plan, state.latency.mean)
-    return Rank(late, not quick, plan.priority, record.arrival.expires)
+    rank = Rank(
+        long=not state.durations.is_quick(plan, state.latency.mean),
+        priority=plan.priority,
+        expires=record.arrival.expires,
+        account=plan.account,
+        foreign=is_foreign(plan),
+        cost=usual,
+    )
+    wait = find_wait(state, target, state.queue.count_ahead(rank, parts))
+    if not plan.aim or plan.spent + wait + usual <= plan.aim:
+        return rank, wait
+    late = replace(rank, late=True)
+    ahead = state.queue.count_ahead(late, parts)
+    return late, find_wait(state, target, ahead)
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -126,7 +126,11 @@
         return verdicts
 
     def next_due(self) -> float | None:
-        """Name no time: the end of an attempt or a tick moves the queue."""
+        """Name a time gone by for what made way for others.
+
+        Else none: the end of an attempt or a tick moves the queue.
+        """
+        return 0 if self._state.declined else None
 
 
 def _tell_nobody(now: float) -> None:
--- a/hillfield/gate/queue.py
+++ b/hillfield/gate/queue.py
@@ -1,40 +1,30 @@
 """Requests that wait at the gate for a slot of its target."""
 
-from heapq import heapify, heappop, heappush
+from collections.abc import Mapping
 
 from msgspec import Struct
 
+from hillfield.gate.order import Rank, arrange, find_last, find_outranked
 from hillfield.routing.records import RequestRecord
 
 
-class Rank(Struct, frozen=True, order=True):
-    """Order the waiting: the least goes first.
+class Place(Struct, frozen=True):
+    """Say who waits, with which rank, and until when at most (seconds)."""
 
-    `late`: its answer would come too late to be worth most; `long`: it holds
-    a slot for longer than others; `priority` as its route says; `expires` is
-    when its caller gives up, in seconds of the monotonic clock.
-    """
-
-    late: bool = False
-    long: bool = False
-    priority: int = 0
-    expires: float = 0
-
-
-class _Place(Struct, frozen=True, order=True):
     rank: Rank
-    number: int
     until: float
     record: RequestRecord
 
 
 class GateQueue:
-    """Let the least rank go first, those alike in order of arrival."""
+    """Let the least rank go first, those alike in order of arrival.
+
+    `parts` are the seconds of slots that each account has had lately.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
-        self._places: list[_Place] = []
-        self._count = 0
+        self._places: list[Place] = []
 
     def __len__(self) -> int:
         """Return how many wait."""
@@ -47,19 +37,40 @@
         until: float,
     ) -> None:
         """Let a request wait until this moment."""
-        self._count += 1
-        heappush(self._places, _Place(rank, self._count, until, record))
+        self._places.append(Place(rank, until, record))
 
-    def pop(self) -> RequestRecord:
+    def pop(self, parts: Mapping[str, float]) -> RequestRecord:
         """Take the request whose turn it is."""
-        return heappop(self._places).record
+        first = min(arrange(self._list_ranks(), parts))
+        return self._places.pop(first.number).record
+
+    def count_ahead(self, rank: Rank, parts: Mapping[str, float]) -> int:
+        """Return how many go before one more of this rank."""
+        ranks = (*self._list_ranks(), rank)
+        outranked = find_outranked(ranks, arrange(ranks, parts))
+        return len(self._places) - len(outranked)
+
+    def find_last(
+        self,
+        parts: Mapping[str, float],
+    ) -> tuple[int, Place] | None:
+        """Return who would make way for the newest, and how many go before.
+
+        None: the newest goes before nobody that may be declined for it.
+        """
+        ranks = self._list_ranks()
+        turns = arrange(ranks, parts)
+        last = find_last(ranks, turns)
+        if last is None:
+            return None
+        ahead = sum(turn < turns[last] for turn in turns)
+        return ahead, self._places[last]
 
     def remove(self, record: RequestRecord) -> None:
         """Take a request out, wherever it waits."""
         self._places = [
             place for place in self._places if place.record is not record
         ]
-        heapify(self._places)
 
     def take_all(self) -> tuple[RequestRecord, ...]:
         """Empty the queue."""
@@ -77,3 +88,6 @@
         for record in late:
             self.remove(record)
         return late
+
+    def _list_ranks(self) -> tuple[Rank, ...]:
+        return tuple(place.rank for place in self._places)
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -9,6 +9,7 @@
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.queue import GateQueue
 from hillfield.gate.seat import Seat
+from hillfield.gate.shares import AccountShares, is_foreign
 from hillfield.gate.standing import Ending, Standing
 from hillfield.model import Target, TargetState
 from hillfield.routing.durations import Durations
@@ -24,7 +25,10 @@
 
 @dataclass(slots=True)
 class GateState:
-    """Hold the parts that the gate decides with."""
+    """Hold the parts that the gate decides with.
+
+    `declined` are verdicts on what made way for others, not yet handed on.
+    """
 
     journal: Journal
     seat: Seat | None = None
@@ -36,6 +40,8 @@
     durations: Durations = field(default_factory=Durations)
     lost: LostRuns = field(default_factory=LostRuns)
     ages: AgeTrust = field(default_factory=AgeTrust)
+    shares: AccountShares = field(default_factory=AccountShares)
+    declined: list[Refuse] = field(default_factory=list)
 
     @property
     def target(self) -> Target | None:
@@ -95,6 +101,10 @@
     def send(self, now: float, record: RequestRecord, target: Target) -> Send:
         """Start an attempt."""
         self.standing.begin(now)
+        plan = record.arrival.plan
+        if not is_foreign(plan):
+            usual = self.durations.find(plan).find_quantile(0)
+            self.shares.charge(now, plan.account, usual)
         return self.ledger.start(now, record, target)
 
     def refuse(self, record: RequestRecord, cause: Cause) -> Refuse:
@@ -102,6 +112,12 @@
         failure = end_refused(self.ledger, record, cause)
         return Refuse(record.arrival.request, failure)
 
+    def take_declined(self) -> tuple[Refuse, ...]:
+        """Hand on the verdicts on what made way for others."""
+        declined = tuple(self.declined)
+        self.declined.clear()
+        return declined
+
     def record(self, code: EventCode, seat: Seat, detail: str) -> None:
         """Record an event of the target."""
         target = seat.target.id
