Tell modelled gates where calls begin

The modelled hops named no origin, so gates took no call for one; and what makes way for others is told at once, as in real nodes.

--- a/hillfield/experiments/calling/courses.py
+++ b/hillfield/experiments/calling/courses.py
@@ -197,6 +197,8 @@
         now = self._clock.now
         arrival = Arrival(self._key, self._plan(), self._course.expires, True)
         self.obey(self._host.gate.admit(now, arrival))
+        if self._host.gate.next_due() is not None:
+            self._host.poll_gate()
 
     def _plan(self) -> RequestPlan:
         return replace(
@@ -205,6 +207,7 @@
             trial=self.send.trial,
             urgency=self.send.urgency,
             spent=self.send.spent,
+            origin=self._course.host.service,
         )
 
     def _finish(self, status: int) -> None:
