Write what was framed, never a last chunk in place of a body that is gone

A request with a body whose bytes have been dropped would have got the five bytes of a last chunk as part of its body when the other node asked for the rest. No way to that is known, since whatever drops a body cuts its attempts in the same step; the choice now follows the size by which the head was framed, so that such a request stays unfinished and doesn't run. Proxy tests pass.

--- a/hillfield/proxy/sending.py
+++ b/hillfield/proxy/sending.py
@@ -74,7 +74,8 @@
         if body.streamed:
             self._writer = create_task(self._write_body())
             return
-        self.connection.stream.write(body.join() or _LAST_CHUNK)
+        rest = body.join() if body.size else _LAST_CHUNK
+        self.connection.stream.write(rest)
         self._finish()
 
     def stop(self) -> None:
