--- a/hillfield/repeats/local.py
+++ b/hillfield/repeats/local.py
@@ -168,13 +168,7 @@
     def can_take(self, now: float, service: str, kind: RepeatKind) -> bool:
         """Tell whether a repeat is allowed now."""
         use = self._find(service)
-        allowed = use.loan.allows(now, kind)
-        if not allowed:
-            allowed = self._has_own(use, now, kind)
-        # Nobody tries to take a hedge that isn't allowed: the question is all
-        # that tells of the need.
-        use.demand.tried += kind is RepeatKind.HEDGE and not allowed
-        return allowed
+        return use.loan.allows(now, kind) or self._has_own(use, now, kind)
 
     def take(self, now: float, service: str, kind: RepeatKind) -> bool:
         """Take a repeat, if it is allowed."""
