--- a/hillfield/node/repeats.py
+++ b/hillfield/node/repeats.py
@@ -35,9 +35,8 @@
 # Seconds for which a silent node may still hold its part of the bound: longer
 # than nodes are cut off as a rule.
 SILENCE_HELD: Final = 120.0
-# Rows of one datagram; those that don't fit go in a further one. The largest
-# row, of twelve routes with long names, takes 1.9 kB of 4 kB.
-ROWS_AT_ONCE: Final = 2
+# Rows of one datagram; those that don't fit go in a further one.
+ROWS_AT_ONCE: Final = 8
 # Random numbers that tell lives of a node apart, and where reports begin.
 LIVES: Final = 1_000_000_000
 NUMBERS: Final = 1_000_000
--- a/hillfield/repeats/local.py
+++ b/hillfield/repeats/local.py
@@ -34,7 +34,7 @@
 JOINING: Final = 1.5
 OWN_JOINING: Final = 1
 # Routes of one service that are reported; requests of more deposit nothing.
-ROUTES_REPORTED: Final = 12
+ROUTES_REPORTED: Final = 16
 
 
 class Sighting(Struct, frozen=True):
