--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -49,8 +49,6 @@
     RETRY_BUDGET_EMPTY = 3520
     OVERLOAD_STARTED = 3521
     OVERLOAD_ENDED = 3522
-    REPEATS_EXHAUSTED = 3523
-    REPEATS_RESTORED = 3524
     GATE_SHUNNED = 3530
     GATE_REOPENED = 3531
     GATE_SEATED = 3532
@@ -144,8 +142,6 @@
         EventCode.RETRY_BUDGET_EMPTY: 'warning',
         EventCode.OVERLOAD_STARTED: 'warning',
         EventCode.OVERLOAD_ENDED: 'info',
-        EventCode.REPEATS_EXHAUSTED: 'warning',
-        EventCode.REPEATS_RESTORED: 'info',
         EventCode.GATE_SHUNNED: 'warning',
         EventCode.GATE_REOPENED: 'info',
         EventCode.GATE_SEATED: 'info',
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -50,7 +50,7 @@
     target; `urgency`: which targets it takes. `route` and `aim`, the seconds
     in which an answer is worth most, tell how long it should take; `spent`
     are the seconds since it was first sent, `account` is whose request it is
-    (empty: nobody's), `repeat` that a target may have seen it before.
+    (empty: nobody's).
     """
 
     service: str
@@ -64,7 +64,6 @@
     aim: float = 0
     spent: float = 0
     account: str = ''
-    repeat: bool = False
 
 
 _ENCODER: Final = Encoder()
@@ -75,7 +74,7 @@
     """Return the header's text.
 
     >>> write_hop(HopOrder('claims', 7, 1, 'desk', True))
-    '["claims",7,1,"desk",true,false,0,"",0,0,"",false]'
+    '["claims",7,1,"desk",true,false,0,"",0,0,""]'
     >>> read_hop(write_hop(HopOrder('leit', 7, 1, 'skrá'))).ok.origin
     'skrá'
     """
@@ -120,7 +119,6 @@
             plan.aim,
             send.spent,
             plan.account,
-            send.repeat,
         )
         fields.add(HOP, write_hop(order))
 
--- a/hillfield/gate/notes.py
+++ b/hillfield/gate/notes.py
@@ -52,16 +52,6 @@
     def adopt_report(self, now: float, report: LoadReport) -> None:
         """Ignore it: targets don't tell of their room."""
 
-    def count_running(self) -> int:
-        """Return how many requests are at the target."""
-        return len(self._state.ledger.attempts)
-
-    def find_repeated(self) -> float:
-        """Return the part of them that are repeats."""
-        running = self._state.ledger.attempts.values()
-        repeats = sum(one.record.arrival.plan.repeat for one in running)
-        return repeats / len(running) if repeats else 0
-
     def report(self, now: float) -> LoadReport | None:
         """Return what other nodes should know of the target's room."""
         self._told += 1
--- a/hillfield/gate/plans.py
+++ b/hillfield/gate/plans.py
@@ -69,7 +69,6 @@
             urgency=order.urgency,
             aim=order.aim,
             spent=order.spent,
-            repeat=order.repeat,
         )
 
 
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -34,7 +34,6 @@
 
 TableReader = Callable[[bytes], Result[RouteTable, str]]
 TableListener = Callable[[RouteTable], None]
-PlanListener = Callable[[RequestPlan], None]
 
 
 class PlannerSettings(Struct, frozen=True):
@@ -91,13 +90,11 @@
     ) -> None:
         """Start without routes; `listener` is told of each new table.
 
-        `quotas` is asked before a request of an account is planned, and
-        `on_planned` is told of each plan.
+        `quotas` is asked before a request of an account is planned.
         """
         self.generation = 0
         self.quotas: Quotas = NoQuotas()
         self.listener: TableListener = _tell_nobody
-        self.on_planned: PlanListener = _note_nothing
         self._settings = settings
         self._reader = reader
         self._random = random
@@ -163,9 +160,7 @@
         wait = self.quotas.ask(account)
         if wait:
             return Error(refuse_quota(account.name, wait))
-        plan = self._plan(route, account)
-        self.on_planned(plan)
-        return Ok(plan)
+        return Ok(self._plan(route, account))
 
     def policy(self, service: str) -> ServicePolicy | None:
         """Return how a service's traffic is treated, if a route leads there."""
@@ -222,7 +217,3 @@
 
 def _tell_nobody(table: RouteTable) -> None:
     """Tell nobody: no one has asked yet."""
-
-
-def _note_nothing(plan: RequestPlan) -> None:
-    """Note nothing: nobody counts requests."""
--- a/hillfield/metrics/node.py
+++ b/hillfield/metrics/node.py
@@ -63,14 +63,6 @@
             'Further attempts of a request, by reason.',
             'reason',
         )
-        self.repeats = BoundCounter(
-            registry,
-            'hillfield_repeats',
-            'Repeats asked of the bound of the fleet, by service, kind, answer.',
-            'service',
-            'kind',
-            'answer',
-        )
         self._refusals = BoundCounter(
             registry,
             'hillfield_refusals',
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -40,8 +40,7 @@
     `priority` ranks requests that wait (0 goes first), `origin` is the
     service on whose host the request began (empty: not known), `trial`
     `urgency` and `spent` (seconds since it was first sent) what the node
-    where it began says of this attempt, as `repeat` (a target may have seen
-    it before),
+    where it began says of this attempt,
     `aim` the time in which an answer is worth most (0: not known).
     """
 
@@ -59,7 +58,6 @@
     urgency: Urgency = Urgency.CHOOSY
     aim: float = 0
     spent: float = 0
-    repeat: bool = False
 
 
 class ServicePolicy(Struct, frozen=True):
--- a/hillfield/node/exchanges.py
+++ b/hillfield/node/exchanges.py
@@ -9,9 +9,8 @@
 from hillfield.node.crashstore import CrashMemory
 from hillfield.node.ends import EndWatch
 from hillfield.node.fittings import Fittings
-from hillfield.node.parts import Parts, Recording
+from hillfield.node.parts import Parts
 from hillfield.node.quotas import QuotaExchange
-from hillfield.node.repeats import RepeatExchange, Surroundings
 from hillfield.node.reporting import LoadReporting
 from hillfield.proxy import ProxyServer
 from hillfield.settings import NodeSettings
@@ -57,26 +56,6 @@
     return CrashExchange(fittings.crashes, key, Random(), book)
 
 
-def make_repeats(
-    settings: NodeSettings,
-    fittings: Fittings,
-    gate: Gate,
-    recording: Recording,
-) -> RepeatExchange | None:
-    """Return what holds the fleet's bound on repeats, where there is one."""
-    if fittings.repeat_bound is None:
-        return None
-    repeats = RepeatExchange(
-        fittings.repeats,
-        settings.cluster_key.encode(),
-        fittings.repeat_bound,
-        Surroundings(gate, fittings.planner, recording),
-    )
-    repeats.socket.counter = recording.metrics.note_datagrams
-    fittings.planner.on_planned = repeats.note_plan
-    return repeats
-
-
 def make_crash_memory(parts: Parts, crashes: CrashExchange) -> CrashMemory:
     """Return what keeps such requests in the store."""
     return CrashMemory(
--- a/hillfield/node/fittings.py
+++ b/hillfield/node/fittings.py
@@ -1,7 +1,6 @@
 """What an adapter brings to a node for a platform."""
 
 from collections.abc import Callable
-from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -18,8 +17,7 @@
 from hillfield.node.parts import Parts, Recording
 from hillfield.proxy import ProxyServer, ProxySettings, RequestMeter
 from hillfield.proxy.ports import CrashGuard
-from hillfield.repeats import RepeatBound, RepeatTokens
-from hillfield.routing import Dispatcher, DispatcherTable
+from hillfield.routing import DispatcherTable
 from hillfield.settings import NodeSettings
 from hillfield.store.ports import OpenStore
 
@@ -40,9 +38,7 @@
     `callers` and `hops` are the settings of the two servers, `checks` tell a
     wrong answer of the target, `reports` is where load reports come in
     (datagrams, the same port on all hosts), `quotas` where those of accounts'
-    requests do, `crashes` where those of requests that end targets do and
-    `repeats` where those of repeats do, whose bound is `repeat_bound` (None:
-    there is none over the fleet),
+    requests do and `crashes` where those of requests that end targets do,
     `relay` how the store is followed,
     `make_listeners` what else listens.
     """
@@ -54,8 +50,6 @@
     reports: Address
     quotas: Address
     crashes: Address
-    repeats: Address
-    repeat_bound: RepeatBound | None
     checks: AnswerChecks
     relay: FeedSettings
     make_listeners: Callable[[Seating, NodePage], tuple[Listening, ...]]
@@ -67,21 +61,15 @@
     fittings: Fittings,
     meter: RequestMeter,
     guard: CrashGuard,
-    tokens: RepeatTokens | None,
 ) -> Parts:
     """Build all parts of a gated node; nothing is opened yet.
 
     `meter` is told of the requests of this host's callers, `guard` knows those
-    that end targets, `tokens` bound repeats over the fleet.
+    that end targets.
     """
     planner = fittings.planner
     journal = recording.journal
-    table = DispatcherTable(
-        settings.locality,
-        PathBoard,
-        Random(),
-        partial(Dispatcher, tokens=tokens),
-    )
+    table = DispatcherTable(settings.locality, PathBoard, Random())
     desk = ServiceDesk(table, planner)
     return Parts(
         settings=settings,
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -20,7 +20,6 @@
     make_crashes,
     make_end_watch,
     make_quotas,
-    make_repeats,
     make_reporting,
 )
 from hillfield.node.fittings import Fittings, make_gated_parts
@@ -78,19 +77,12 @@
         self.gate = Gate(recording.journal)
         meter = CallMeter(recording.metrics, self.gate.calls)
         self.crashes = make_crashes(settings, fittings, recording.journal)
-        self._repeats = make_repeats(
-            settings,
-            fittings,
-            self.gate,
-            recording,
-        )
         parts = make_gated_parts(
             settings,
             recording,
             fittings,
             meter,
             self.crashes.at_callers,
-            None if self._repeats is None else self._repeats.tokens,
         )
         super().__init__(settings, parts)
         self.seating = Seating(parts.registry, self.gate)
@@ -110,7 +102,6 @@
             self._reporting,
             self._quotas,
             self.crashes,
-            *filter(None, (self._repeats,)),
         )
         self._gate_ticking: Appointment | None = None
         fittings.planner.listener = self._adopt_table
@@ -155,8 +146,6 @@
     ) -> tuple[Coroutine[None, None, None], ...]:
         self._reporting.join(fleet.state.core)
         self._quotas.join(fleet.state.core)
-        if self._repeats is not None:
-            self._repeats.join(fleet.state.core)
         self.crashes.book.join(fleet.state.core)
         self.page.book = self.crashes.book
         relay = OpenRelay(
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -8,7 +8,6 @@
 from msgspec.json import decode
 
 from hillfield.model import Address, Locality, parse_address
-from hillfield.repeats import RepeatBound
 from hillfield.settings import (
     AnnouncementSettings,
     LimitSettings,
@@ -24,7 +23,6 @@
 REPORTS: Final = 3
 QUOTAS: Final = 4
 CRASHES: Final = 5
-REPEATS: Final = 6
 # All nodes of one platform are one cluster. Its network is the platform's
 # own, so the key only keeps stray messages out.
 CLUSTER: Final = 'platform'
@@ -93,10 +91,9 @@
     """Hold what a node learns from the file.
 
     `grace` is the seconds between the platform's request to stop and the
-    end, `retry_ratio` the repeats a request of the whole fleet,
-    `repeat_bound` how many there may be in a window (None: the file doesn't
-    say), `floor` the least share of a service's sound targets to be used,
-    `memory` the bytes that the process may take (None: not told).
+    end, `retry_ratio` the repeats a request of the whole fleet, `floor` the
+    least share of a service's sound targets to be used, `memory` the bytes
+    that the process may take (None: not told).
     """
 
     settings: NodeSettings
@@ -107,10 +104,8 @@
     reports: Address
     quotas: Address
     crashes: Address
-    repeats: Address
     grace: float
     retry_ratio: float
-    repeat_bound: RepeatBound | None
     floor: float
     memory: int | None
 
@@ -132,20 +127,17 @@
 
 
 def _make_boot(wire: BootFile) -> Boot:
-    first = wire.internal_ports[0]
     return Boot(
         settings=_make_settings(wire),
         service=wire.service,
         ready=_read_address('listen.ready', wire.listen.ready),
         heartbeats=_read_address('listen.control', wire.listen.control),
-        hops=Address(wire.ip, first + HOPS),
-        reports=Address(wire.ip, first + REPORTS),
-        quotas=Address(wire.ip, first + QUOTAS),
-        crashes=Address(wire.ip, first + CRASHES),
+        hops=Address(wire.ip, wire.internal_ports[0] + HOPS),
+        reports=Address(wire.ip, wire.internal_ports[0] + REPORTS),
+        quotas=Address(wire.ip, wire.internal_ports[0] + QUOTAS),
+        crashes=Address(wire.ip, wire.internal_ports[0] + CRASHES),
         grace=wire.bound('graceS', GRACE),
-        repeats=Address(wire.ip, first + REPEATS),
         retry_ratio=wire.bound('retryBudgetRatio', RETRY_RATIO),
-        repeat_bound=_read_repeat_bound(wire),
         floor=wire.bound('floorShare', FLOOR),
         memory=_read_memory(wire.limits),
     )
@@ -157,16 +149,6 @@
     return int(limits.memory_mb * BYTES_OF_A_MEGABYTE)
 
 
-def _read_repeat_bound(wire: BootFile) -> RepeatBound | None:
-    """Return the fleet's bound on repeats, where the file holds all of it."""
-    ratio = wire.bound('retryBudgetRatio', -1)
-    window = wire.bound('retryWindowS', 0)
-    slack = wire.bound('retryBudgetSlack', -1)
-    if ratio < 0 or window <= 0 or slack < 0:
-        return None
-    return RepeatBound(ratio, window, slack)
-
-
 def _make_settings(wire: BootFile) -> NodeSettings:
     first = wire.internal_ports[0]
     return NodeSettings(
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -101,8 +101,6 @@
             reports=self._boot.reports,
             quotas=self._boot.quotas,
             crashes=self._boot.crashes,
-            repeats=self._boot.repeats,
-            repeat_bound=self._boot.repeat_bound,
             checks=SIGNED,
             relay=FeedSettings(
                 (KEY,),
--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -20,12 +20,6 @@
 
 HOST = 'till.example'
 PATIENCE = 15
-BOUNDS = (
-    'graceS=6',
-    'retryBudgetRatio=0.2',
-    'retryWindowS=10',
-    'retryBudgetSlack=60',
-)
 LIMITS = MappingProxyType(
     {
         'maxHeaderBytes': 16384,
@@ -247,7 +241,7 @@
                 },
                 'internalPorts': [base, base + 3],
                 'heartbeatS': 0.3,
-                'bounds': BOUNDS,
+                'bounds': ['graceS=6', 'retryBudgetRatio=0.2'],
                 'service': host.target.service,
                 'appAddr': str(host.target.address),
                 'platform': {'address': str(self.store_address)},
--- a/hillfield/quotas/membership.py
+++ b/hillfield/quotas/membership.py
@@ -25,9 +25,8 @@
     1.0
     """
 
-    def __init__(self, held: float = SILENCE_HELD) -> None:
-        """Start knowing nobody; the silent are kept for so many seconds."""
-        self._held = held
+    def __init__(self) -> None:
+        """Start knowing nobody."""
         self._alive: frozenset[str] = frozenset()
         self._silent: dict[str, float] = {}
         self._counters: dict[str, str] = {}
@@ -42,7 +41,7 @@
         if alive != self._alive:
             for lost in self._alive - alive:
                 if not has_left(lost):
-                    self._silent[lost] = now + self._held
+                    self._silent[lost] = now + SILENCE_HELD
             self._alive = alive
             self._counters.clear()
         if self._silent:
@@ -58,13 +57,6 @@
         heard = len(self._alive)
         return heard / (heard + len(self._silent)) if heard else 1.0
 
-    def list_silent(self, now: float) -> dict[str, float]:
-        """Return who has fallen silent, and since how many seconds."""
-        return {
-            name: now + self._held - until
-            for name, until in self._silent.items()
-        }
-
     def find_counter(self, account: str) -> str:
         """Return the node that counts an account's requests.
 
--- a/hillfield/routing/budgets.py
+++ b/hillfield/routing/budgets.py
@@ -4,7 +4,6 @@
 from typing import Final
 
 from hillfield.model import ServicePolicy
-from hillfield.repeats import RepeatKind, RepeatTokens
 
 HEDGE_BURST: Final = 2.0
 # Seconds for which time itself adds to a budget between two calls.
@@ -63,20 +62,10 @@
     the shed answer, and those of requests that could not be sent, have
     buckets of their own with larger bursts and deposits: the first cost the
     target no slot, the second no target anything.
-
-    Where the whole fleet has a bound, `tokens` say what it leaves to this
-    node, and only the tries that could not be sent are bounded here.
     """
 
-    def __init__(
-        self,
-        policy: ServicePolicy,
-        tokens: RepeatTokens | None = None,
-    ) -> None:
+    def __init__(self, policy: ServicePolicy) -> None:
         """Start with full bursts, so that a first failure can be retried."""
-        self._service = policy.service
-        self._tokens = tokens
-        self._refused = False
         self._shed_cost = policy.shed_cost
         self.retries = Bucket(policy.retry_burst, policy.retry_burst)
         self.sheds = Bucket(policy.shed_burst, policy.shed_burst)
@@ -109,19 +98,8 @@
         self.retries.bound(policy.retry_burst)
         self.sheds.bound(policy.shed_burst)
 
-    def can_retry(self) -> bool:
-        """Tell whether an attempt that fails could be retried now."""
-        if self._tokens is None:
-            return self.retries.can_take()
-        return self._tokens.can_take(self._service, RepeatKind.FAILED)
-
     def take_retry(self, account: str, shed: bool) -> bool:
         """Take a retry from the service's and the account's budget."""
-        if self._tokens is not None:
-            kind = RepeatKind.SHED if shed else RepeatKind.FAILED
-            taken = self._tokens.take(self._service, kind)
-            self._refused |= not taken
-            return taken
         cost = self._shed_cost if shed else 1
         # Where a shed answer costs as much as a run, both share one bound.
         whole = self.sheds if cost < 1 else self.retries
@@ -135,29 +113,9 @@
         """Take another try of a request that could not be sent."""
         return self.unsent.take()
 
-    def find_starved(self) -> bool:
-        """Tell whether retries are refused now.
-
-        What is lent changes by the moment, so there a refusal since the last
-        question counts.
-        """
-        if self._tokens is None:
-            return not self.retries.can_take()
-        refused = self._refused
-        self._refused = False
-        return refused
-
-    def can_hedge(self) -> bool:
-        """Tell whether a slow attempt could have a second one beside it."""
-        if self._tokens is None:
-            return self.hedges.can_take()
-        return self._tokens.can_take(self._service, RepeatKind.HEDGE)
-
     def take_hedge(self) -> bool:
         """Take a hedge from the service's budget."""
-        if self._tokens is None:
-            return self.hedges.take()
-        return self._tokens.take(self._service, RepeatKind.HEDGE)
+        return self.hedges.take()
 
     def _choose_hedges(self, policy: ServicePolicy) -> Bucket:
         shared = policy.hedge_budget is None
--- a/hillfield/routing/dispatcher.py
+++ b/hillfield/routing/dispatcher.py
@@ -6,7 +6,6 @@
 from hillfield.events import EventCode, Occurrence
 from hillfield.loadreports.reports import LoadReport
 from hillfield.model import Locality, ServicePolicy, Target
-from hillfield.repeats import RepeatTokens
 from hillfield.routing.admission import admit, serve_queue
 from hillfield.routing.explanations import RoutingExplanation, explain_service
 from hillfield.routing.hedging import Hedges
@@ -31,15 +30,9 @@
         locality: Locality,
         board: Board,
         random: Random,
-        tokens: RepeatTokens | None = None,
     ) -> None:
-        """Start without targets; `random` is seeded by the caller.
-
-        `tokens` are asked for repeats where the whole fleet has a bound.
-        """
-        super().__init__(
-            open_service(policy, locality, board, random, tokens),
-        )
+        """Start without targets; `random` is seeded by the caller."""
+        super().__init__(open_service(policy, locality, board, random))
         self._locality = locality
         self._overloaded = False
         self._starved = False
@@ -141,7 +134,7 @@
             if overloaded:
                 code = EventCode.OVERLOAD_STARTED
             occurrences.append(Occurrence(code, service=name))
-        starved = self._service.budget.find_starved()
+        starved = not self._service.budget.retries.can_take()
         if starved and not self._starved:
             code = EventCode.RETRY_BUDGET_EMPTY
             occurrences.append(Occurrence(code, service=name))
--- a/hillfield/routing/hedging.py
+++ b/hillfield/routing/hedging.py
@@ -49,7 +49,7 @@
         _may_hedge(record)
         and now + service.need(record) < record.arrival.expires
         and not service.waiting()
-        and service.budget.can_hedge()
+        and service.budget.hedges.can_take()
     )
     target = place_hedge(service, now, record) if possible else None
     if target is None:
--- a/hillfield/routing/requests.py
+++ b/hillfield/routing/requests.py
@@ -37,7 +37,7 @@
 
     `trial` says that it could be sent once more elsewhere if this attempt
     fails, `urgency` which targets it takes, `spent` the seconds since the
-    request was first sent, `repeat` that a target may have seen it before.
+    request was first sent.
     """
 
     request: str
@@ -47,7 +47,6 @@
     trial: bool = False
     urgency: Urgency = Urgency.CHOOSY
     spent: float = 0
-    repeat: bool = False
 
 
 class Wait(Struct, frozen=True):
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -15,7 +15,6 @@
     Target,
     TargetId,
 )
-from hillfield.repeats import RepeatTokens
 from hillfield.routing.budgets import RateLimiter, RetryBudget
 from hillfield.routing.durations import Durations
 from hillfield.routing.pace import Pace
@@ -126,14 +125,12 @@
         settles = room is not None and room.held is Held.ONCE
         self.selector.note_sent(target.id)
         self.rooms.take(target.id)
-        repeat = record.sent > 0
         send = self.ledger.start(now, record, target)
         return replace(
             send,
             trial=self._may_follow(record, record.sent),
             urgency=find_urgency(now, record, settles),
             spent=round(record.find_spent(now), MILLISECOND_DIGITS),
-            repeat=repeat,
         )
 
     def forget(self, request: str) -> None:
@@ -198,7 +195,7 @@
         if not (plan.idempotent and record.arrival.replayable):
             return False
         spare = sent < plan.maximum_attempts
-        return spare and self.budget.can_retry()
+        return spare and self.budget.retries.can_take()
 
 
 def open_service(
@@ -206,8 +203,7 @@
     locality: Locality,
     board: Board,
     random: Random,
-    tokens: RepeatTokens | None = None,
 ) -> Service:
-    """Return an empty service; `tokens` bound its repeats over the fleet."""
+    """Return an empty service."""
     selector = Selector(locality, random)
-    return Service(policy, board, selector, RetryBudget(policy, tokens))
+    return Service(policy, board, selector, RetryBudget(policy))
--- a/hillfield/routing/tests/test_budgets.py
+++ b/hillfield/routing/tests/test_budgets.py
@@ -1,7 +1,6 @@
 """Budgets of retries."""
 
 from hillfield.model import Address, RequestPlan, ServicePolicy, TargetId
-from hillfield.repeats import RepeatKind
 from hillfield.routing.budgets import UNSENT_BURST, RetryBudget
 from hillfield.routing.records import RequestRecord
 from hillfield.routing.requests import Arrival
@@ -65,50 +64,3 @@
     assert budget.take_retry('a', shed=False)
     assert not budget.take_retry('a', shed=True)
     assert not budget.take_retry('a', shed=False)
-
-
-class Tokens:
-    """Grant a number of repeats; remember who asked for what."""
-
-    def __init__(self, left):
-        self.left = left
-        self.asked = []
-
-    def can_take(self, service, kind):
-        return self.left > 0
-
-    def take(self, service, kind):
-        self.asked.append((service, kind))
-        self.left -= 1
-        return self.left >= 0
-
-
-def test_a_bound_over_the_fleet_takes_the_place_of_the_nodes_own():
-    tokens = Tokens(9)
-    budget = RetryBudget(POLICY, tokens)
-    assert budget.take_retry('shop', shed=True)
-    assert budget.take_retry('shop', shed=False)
-    assert budget.can_hedge()
-    assert budget.take_hedge()
-    assert tokens.asked == [
-        ('settlement', RepeatKind.SHED),
-        ('settlement', RepeatKind.FAILED),
-        ('settlement', RepeatKind.HEDGE),
-    ]
-
-
-def test_tries_that_could_not_be_sent_need_nothing_of_the_fleets_bound():
-    tokens = Tokens(0)
-    budget = RetryBudget(POLICY, tokens)
-    assert budget.take_unsent()
-    assert not tokens.asked
-
-
-def test_a_node_is_starved_when_a_retry_was_refused():
-    budget = RetryBudget(POLICY, Tokens(1))
-    assert budget.take_retry('shop', shed=True)
-    assert not budget.can_retry()
-    assert not budget.find_starved()
-    assert not budget.take_retry('shop', shed=True)
-    assert budget.find_starved()
-    assert not budget.find_starved()
