Say in one line of a failure which route it took and where its time went

The caller's node now ends the line of a failure with the route, the version that brought it and how long this node has had it; how many gates declined it and how many of them since they shun their targets; how many targets may have seen it, when the first did, which targets it took by then; and why no further attempt followed (attempts, time, repeats or targets used up). A target's own failure that is passed on had no line at all; it has the same now. No decision is changed.

--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -9,19 +9,13 @@
 from hillfield.gate.shares import is_foreign
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
+from hillfield.gate.waiting import describe_wait, find_bound
 from hillfield.model import Step, Target, Urgency
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.records import RequestRecord
 from hillfield.routing.refusals import Cause
 from hillfield.routing.requests import Arrival, Verdict, Wait
 
-# Seconds that a request may wait for a slot here, and the part of its time.
-LONGEST_WAIT: Final = 0.25
-SHARE_OF_WAIT: Final = 0.2
-# The part of its time that a request may wait here if its answer is expected
-# within the time in which it is worth most: what leaves the gate untried needs
-# the rest to be tried elsewhere.
-LARGEST_SHARE_OF_WAIT: Final = 0.5
 # Seconds of an attempt while nothing has been measured.
 FIRST_NEED: Final = 0.02
 # Seconds after which a refused request may come back.
@@ -72,9 +66,16 @@
         waiting = state.queue.take_all()
         left = tuple(state.refuse(record, LEFT) for record in waiting)
         return (*state.take_declined(), *left)
+    need = find_need(state)
     verdicts: list[Verdict] = [
-        state.refuse(record, LATE)
-        for record in state.queue.take_late(now, find_need(state))
+        state.refuse(
+            record,
+            replace(
+                LATE,
+                detail=f'{LATE.detail}, {describe_wait(now, record, need)}',
+            ),
+        )
+        for record in state.queue.take_late(now, need)
     ]
     while len(state.queue) and state.in_flight < target.slots:
         record = state.queue.pop(state.shares.read(now))
@@ -113,22 +114,6 @@
     return max(1, target.slots - hung)
 
 
-def _find_bound(
-    state: GateState,
-    now: float,
-    record: RequestRecord,
-) -> float:
-    """Return the seconds that a request may wait for a slot here."""
-    left = record.arrival.expires - now
-    bound = min(LONGEST_WAIT, SHARE_OF_WAIT * left)
-    plan = record.arrival.plan
-    if not plan.aim:
-        return bound
-    usual = state.durations.find(plan).find_quantile(0)
-    slack = plan.aim - plan.spent - usual
-    return max(bound, min(slack, LARGEST_SHARE_OF_WAIT * left))
-
-
 def _serve(
     state: GateState,
     now: float,
@@ -162,7 +147,7 @@
     target: Target,
 ) -> Verdict:
     rank, wait = _rank(state, now, record, target)
-    bound = _find_bound(state, now, record)
+    bound = find_bound(state, now, record)
     if wait > bound:
         return state.refuse(record, replace(FULL, retry_after=wait))
     record.follow(RequestTrigger.QUEUE)
--- a/hillfield/gate/tests/test_fuzz.py
+++ b/hillfield/gate/tests/test_fuzz.py
@@ -36,7 +36,7 @@
     Target,
     TargetId,
 )
-from hillfield.routing import Dispatcher, recovery
+from hillfield.routing import Dispatcher, repeats
 from hillfield.routing.declining import Declined
 from hillfield.routing.refusals import end_refused
 from hillfield.routing.requests import (
@@ -362,7 +362,7 @@
 
 @mark.seeded
 def test_fuzz_finds_a_repeat_after_unknown(monkeypatch):
-    monkeypatch.setattr(recovery, '_may_repeat', lambda record: True)
+    monkeypatch.setattr(repeats, '_may_repeat', lambda record: True)
     with raises(AssertionError):
         run_faulty()
 
--- a/hillfield/gate/tests/test_gate.py
+++ b/hillfield/gate/tests/test_gate.py
@@ -6,9 +6,10 @@
 
 from hillfield.events import EventCode, ListJournal
 from hillfield.gate import Gate, GatePlans, HopDialect, Seat
-from hillfield.gate.admission import FULL, LONGEST_WAIT, SHUNNED
+from hillfield.gate.admission import FULL, SHUNNED
 from hillfield.gate.hop import HopOrder, write_hop
 from hillfield.gate.standing import LONGEST_SHUN
+from hillfield.gate.waiting import LONGEST_WAIT
 from hillfield.model import (
     Address,
     AnswerChecks,
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from hillfield.clocks import monotonic
 from hillfield.configuration.entries import Entry
 from hillfield.configuration.schema.accounts import FleetAccount
 from hillfield.configuration.serving.digests import Digest, hash_revision
@@ -52,6 +53,16 @@
     safe_checks: AnswerChecks
 
 
+class Birth(Struct, frozen=True):
+    """Say which version brought a route, and when this node adopted it.
+
+    `since` is in monotonic seconds; None: with the node's first table.
+    """
+
+    version: int
+    since: float | None
+
+
 class Quotas(Protocol):
     """Bound what accounts send over all nodes together."""
 
@@ -101,6 +112,7 @@
         self._journal = journal
         self._entry: Entry | None = None
         self._index: RouteIndex | None = None
+        self._births: dict[str, Birth] = {}
 
     def adopt(self, entry: Entry) -> None:
         """Take an entry unless a newer one of its key is held."""
@@ -112,6 +124,7 @@
             self._record(EventCode.CONFIGURATION_REFUSED, detail)
             return
         self._entry = entry
+        self._note_births(read.ok)
         self._index = RouteIndex(read.ok)
         self.generation += 1
         version = read.ok.version
@@ -172,9 +185,19 @@
         """Return the services that some route leads to, sorted."""
         return () if self._index is None else self._index.table.services()
 
+    def _note_births(self, table: RouteTable) -> None:
+        """Note which routes a table brings that this node did not hold."""
+        since = None if self._index is None else monotonic()
+        birth = Birth(table.version, since)
+        self._births = {
+            route.name: self._births.get(route.name, birth)
+            for route in table.routes
+        }
+
     def _plan(self, route: HostRoute, account: FleetAccount) -> RequestPlan:
         settings = self._settings
         checks = settings.safe_checks if route.idempotent else settings.checks
+        birth = self._births[route.name]
         return RequestPlan(
             route.draw_service(self._random),
             route.name,
@@ -186,6 +209,8 @@
             priority=account.priority * ROUTE_RANKS + route.priority,
             origin=settings.origin,
             aim=route.aim,
+            route_version=birth.version,
+            route_since=birth.since,
         )
 
     def _record(self, code: EventCode, detail: str) -> None:
--- a/hillfield/hostroutes/tests/test_planner.py
+++ b/hillfield/hostroutes/tests/test_planner.py
@@ -219,3 +219,14 @@
 def test_before_the_first_routes_no_key_is_called_unknown():
     planner = HostPlanner(SETTINGS, read_table, Random(1), ListJournal())
     assert show_key(planner, 'k-4').error.status == 503
+
+
+def test_a_route_tells_which_version_brought_it():
+    planner = HostPlanner(SETTINGS, read_table, Random(1), ListJournal())
+    planner.adopt(Entry('routes', 5, b'1'))
+    planner.adopt(Entry('routes', 6, b'2'))
+    first = resolve(planner, '/x/yz').ok
+    added = resolve(planner, '/x/y/').ok
+    assert (first.route_version, first.route_since) == (1, None)
+    assert added.route_version == 2
+    assert added.route_since is not None
--- a/hillfield/metrics/node.py
+++ b/hillfield/metrics/node.py
@@ -1,11 +1,9 @@
 """Metrics of one node."""
 
 from collections.abc import Iterator
-from typing import Final
 
 from prometheus_client import (
     CollectorRegistry,
-    Histogram,
     ProcessCollector,
     disable_created_metrics,
 )
@@ -14,27 +12,10 @@
 from hillfield.metrics.gauges import ReadingCollector
 from hillfield.metrics.pieces import render_pieces
 from hillfield.metrics.readings import ReadingSource
-from hillfield.model import Outcome
-
-# Seconds; close together around the 1.6 ms that a node may add.
-ADDED_BUCKETS: Final = (
-    0.0001,
-    0.0002,
-    0.0004,
-    0.0006,
-    0.0008,
-    0.001,
-    0.0013,
-    0.0016,
-    0.002,
-    0.003,
-    0.005,
-    0.01,
-    0.1,
-)
+from hillfield.metrics.requests import RequestMetrics
 
 
-class NodeMetrics:
+class NodeMetrics(RequestMetrics):
     """Count what the node does, in a registry of its own.
 
     Labels come from the configuration and from fixed sets of words, never
@@ -49,26 +30,8 @@
         """
         disable_created_metrics()  # type: ignore[no-untyped-call]
         registry = CollectorRegistry()
+        super().__init__(registry)
         self.registry = registry
-        self._requests = BoundCounter(
-            registry,
-            'hillfield_requests',
-            'Requests that ended, by service and outcome.',
-            'service',
-            'outcome',
-        )
-        self._retries = BoundCounter(
-            registry,
-            'hillfield_retries',
-            'Further attempts of a request, by reason.',
-            'reason',
-        )
-        self._refusals = BoundCounter(
-            registry,
-            'hillfield_refusals',
-            'Requests refused by the node itself, by reason.',
-            'reason',
-        )
         self._decisions = BoundCounter(
             registry,
             'hillfield_decisions',
@@ -95,34 +58,12 @@
             'Load reports between nodes, by direction.',
             'direction',
         )
-        self._added = Histogram(
-            'hillfield_added_seconds',
-            'Time that the node adds to a request.',
-            buckets=ADDED_BUCKETS,
-            registry=registry,
-        )
         ProcessCollector(registry=registry)
 
     def watch(self, source: ReadingSource) -> None:
         """Read gauges from this source at each scrape."""
         self.registry.register(ReadingCollector(source))
 
-    def note_request(self, service: str, outcome: Outcome) -> None:
-        """Count a request that ended."""
-        self._requests.count((service, outcome))
-
-    def note_added(self, seconds: float) -> None:
-        """Record the time that the node added to a request."""
-        self._added.observe(seconds)
-
-    def note_retry(self, reason: str) -> None:
-        """Count a further attempt."""
-        self._retries.count((reason,))
-
-    def note_refusal(self, reason: str) -> None:
-        """Count a request that the node refused."""
-        self._refusals.count((reason,))
-
     def note_decision(self, service: str, kind: str) -> None:
         """Count a decision, such as an ejection."""
         self._decisions.count((service, kind))
--- /dev/null
+++ b/hillfield/metrics/requests.py
@@ -0,0 +1,85 @@
+"""What is counted of requests."""
+
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Histogram
+
+from hillfield.metrics.counters import BoundCounter
+from hillfield.model import Outcome
+
+# Seconds; close together around the 1.6 ms that a node may add.
+ADDED_BUCKETS: Final = (
+    0.0001,
+    0.0002,
+    0.0004,
+    0.0006,
+    0.0008,
+    0.001,
+    0.0013,
+    0.0016,
+    0.002,
+    0.003,
+    0.005,
+    0.01,
+    0.1,
+)
+
+
+class RequestMetrics:
+    """Count requests by how they ended."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics of requests."""
+        self._requests = BoundCounter(
+            registry,
+            'hillfield_requests',
+            'Requests that ended, by service and outcome.',
+            'service',
+            'outcome',
+        )
+        self._retries = BoundCounter(
+            registry,
+            'hillfield_retries',
+            'Further attempts of a request, by reason.',
+            'reason',
+        )
+        self._routes = BoundCounter(
+            registry,
+            'hillfield_route_requests',
+            'Requests by the age of their route here, and whether a good '
+            'answer came.',
+            'age',
+            'served',
+        )
+        self._refusals = BoundCounter(
+            registry,
+            'hillfield_refusals',
+            'Requests refused by the node itself, by reason.',
+            'reason',
+        )
+        self._added = Histogram(
+            'hillfield_added_seconds',
+            'Time that the node adds to a request.',
+            buckets=ADDED_BUCKETS,
+            registry=registry,
+        )
+
+    def note_request(self, service: str, outcome: Outcome) -> None:
+        """Count a request that ended."""
+        self._requests.count((service, outcome))
+
+    def note_added(self, seconds: float) -> None:
+        """Record the time that the node added to a request."""
+        self._added.observe(seconds)
+
+    def note_retry(self, reason: str) -> None:
+        """Count a further attempt."""
+        self._retries.count((reason,))
+
+    def note_route(self, age: str, served: bool) -> None:
+        """Count a request by how long its route has been known here."""
+        self._routes.count((age, 'yes' if served else 'no'))
+
+    def note_refusal(self, reason: str) -> None:
+        """Count a request that the node refused."""
+        self._refusals.count((reason,))
--- a/hillfield/node/calls.py
+++ b/hillfield/node/calls.py
@@ -27,3 +27,7 @@
     def note_retry(self, reason: str) -> None:
         """Count a further attempt by what ended the one before."""
         self._meter.note_retry(reason)
+
+    def note_route(self, age: str, served: bool) -> None:
+        """Count a request by how long its route has been known here."""
+        self._meter.note_route(age, served)
--- a/hillfield/proxy/context.py
+++ b/hillfield/proxy/context.py
@@ -78,8 +78,12 @@
         failure: RequestFailure,
         request: str = '',
         service: str = '',
+        course: str = '',
     ) -> None:
-        """Record a failure answer; deciders have recorded their own."""
+        """Record a failure answer; deciders have recorded their own.
+
+        `course` says what became of the request before.
+        """
         try:
             code = EventCode(failure.event)
         except ValueError:
@@ -91,6 +95,6 @@
                 request=request,
                 peer=failure.peer,
                 step=failure.step.value,
-                detail=failure.detail,
+                detail='; '.join(filter(None, (failure.detail, course))),
             ),
         )
--- /dev/null
+++ b/hillfield/proxy/courses.py
@@ -0,0 +1,98 @@
+"""What became of a request at its caller's node, told with its failure."""
+
+from typing import Final
+
+from hillfield.model import RequestPlan, Urgency
+from hillfield.routing.declining import Declined
+from hillfield.routing.requests import (
+    ConnectFailed,
+    NothingWritten,
+    Observation,
+    Send,
+)
+
+# Seconds for which a route counts as new: what is learnt of its requests is
+# learnt at each node anew.
+NEW_FOR: Final = 30.0
+FIRST: Final = 'first'
+NEW: Final = 'new'
+OLDER: Final = 'older'
+_UNSENT: Final = (ConnectFailed, NothingWritten)
+
+
+class Course:
+    """Count the ends of a request's attempts; times are seconds.
+
+    >>> course = Course(10.0)
+    >>> course.describe(RequestPlan('fees', 'r', '', True, 1), 10.25)
+    'route r since the first table; 0.250 s: declined 0 (0 held back), sent 0'
+    """
+
+    def __init__(self, began: float) -> None:
+        """Start with no attempt."""
+        self._began = began
+        self._declined = 0
+        self._held_back = 0
+        self._unsent = 0
+        self._sent = 0
+        self._first_sent: float | None = None
+        self._urgency = Urgency.CHOOSY
+
+    def note_sent(self, send: Send) -> None:
+        """Note that an attempt begins."""
+        self._urgency = send.urgency
+
+    def note(self, written_at: float | None, observation: Observation) -> None:
+        """Note how an attempt ended, and when it was written, if it was."""
+        if isinstance(observation, Declined):
+            self._declined += 1
+            self._held_back += observation.lasting
+        elif isinstance(observation, _UNSENT):
+            self._unsent += 1
+        else:
+            self._sent += 1
+            if self._first_sent is None:
+                self._first_sent = written_at
+
+    def describe(self, plan: RequestPlan, now: float) -> str:
+        """Say which route it took, and how long what took."""
+        age = _describe_age(plan, now)
+        spent = now - self._began
+        parts = [
+            f'route {plan.route} {age}',
+            self._describe_declines(spent),
+            f'sent {self._sent}',
+        ]
+        if self._unsent:
+            parts.append(f'not reached {self._unsent}')
+        if self._first_sent is not None:
+            after = self._first_sent - self._began
+            parts.append(f'first after {after:.3f} s')
+        if self._urgency:
+            urgency = self._urgency.name.lower()
+            parts.append(f'{urgency} at last')
+        opening, *rest = parts
+        return '; '.join((opening, ', '.join(rest)))
+
+    def _describe_declines(self, spent: float) -> str:
+        told = f'declined {self._declined} ({self._held_back} held back)'
+        return f'{spent:.3f} s: {told}'
+
+
+def name_age(plan: RequestPlan, now: float) -> str:
+    """Return how long the node has had the route of a request, in a word.
+
+    >>> plan = RequestPlan('fees', 'r', '', True, 1, route_since=5.0)
+    >>> name_age(plan, 6.0), name_age(plan, 60.0)
+    ('new', 'older')
+    """
+    if plan.route_since is None:
+        return FIRST
+    return NEW if now - plan.route_since < NEW_FOR else OLDER
+
+
+def _describe_age(plan: RequestPlan, now: float) -> str:
+    if plan.route_since is None:
+        return 'since the first table'
+    age = now - plan.route_since
+    return f'of version {plan.route_version}, {age:.1f} s old'
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -8,6 +8,7 @@
 from hillfield.model import RequestFailure
 from hillfield.proxy.attempts import Attempt
 from hillfield.proxy.context import ProxyContext
+from hillfield.proxy.courses import Course
 from hillfield.proxy.failures import Fault, describe_stray
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.orders import Order
@@ -48,11 +49,17 @@
         self.closed = False
         self._context = context
         self._order = order
-        self._relay = Relay(context, order, reply)
+        course = Course(monotonic())
+        self._relay = Relay(context, order, reply, course)
         self._dispatching: Dispatching = context.dispatchers.for_service(
             order.plan.service,
         )
-        self._running = RunningAttempts(context, order, self._dispatching)
+        self._running = RunningAttempts(
+            context,
+            order,
+            self._dispatching,
+            course,
+        )
         self._fallback: Attempt | None = None
         self._sign: Appointment | None = None
         self._timer = loop.call_later(
--- a/hillfield/proxy/meters.py
+++ b/hillfield/proxy/meters.py
@@ -17,6 +17,9 @@
     def note_retry(self, reason: str) -> None:
         """Count a further attempt by what ended the one before."""
 
+    def note_route(self, age: str, served: bool) -> None:
+        """Count a request by how long its route has been known here."""
+
 
 class NoMeter:
     """Count nothing."""
@@ -29,3 +32,6 @@
 
     def note_retry(self, reason: str) -> None:
         """Ignore it."""
+
+    def note_route(self, age: str, served: bool) -> None:
+        """Ignore it."""
--- a/hillfield/proxy/relays.py
+++ b/hillfield/proxy/relays.py
@@ -1,11 +1,14 @@
 """What a request's caller gets, and what is recorded of it."""
 
 from collections.abc import Awaitable
+from http import HTTPStatus
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Occurrence
-from hillfield.model import Outcome, RequestFailure
+from hillfield.model import Outcome, RequestFailure, Step
 from hillfield.proxy.attempts import Attempt
 from hillfield.proxy.context import ProxyContext
+from hillfield.proxy.courses import Course, name_age
 from hillfield.proxy.failures import Fault
 from hillfield.proxy.orders import Order
 from hillfield.proxy.replies import Reply
@@ -20,11 +23,13 @@
         context: ProxyContext,
         order: Order,
         reply: Reply,
+        course: Course,
     ) -> None:
         """Prepare; nothing is answered yet."""
         self._context = context
         self._order = order
         self._reply = reply
+        self._course = course
 
     def begin(self, attempt: Attempt) -> Awaitable[None]:
         """Relay an answer in parts from now on."""
@@ -35,7 +40,7 @@
     def end(self, observation: Observation) -> None:
         """End a relayed answer, visibly broken if it is not whole."""
         if isinstance(observation, Answered):
-            self._count(Outcome.ANSWERED)
+            self._count(Outcome.ANSWERED, served=not observation.wrong)
             self._reply.end()
             return
         self._count(Outcome.UNKNOWN)
@@ -45,7 +50,11 @@
 
     def send(self, attempt: Attempt) -> None:
         """Relay an answer that is held whole."""
-        self._count(Outcome.ANSWERED)
+        status = attempt.answer.start_line.code
+        failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if failed:
+            self._record_passed_on(attempt, status)
+        self._count(Outcome.ANSWERED, served=not failed)
         self._reply.send_whole(attempt.answer, self._order.passage)
 
     def send_sign(self) -> None:
@@ -79,12 +88,31 @@
         if not self._reply.begun or self._reply.abort():
             self._reply.fail(failure, self._order.passage.request)
 
-    def _count(self, outcome: Outcome) -> None:
-        self._context.meter.note_request(self._order.plan.service, outcome)
+    def _count(self, outcome: Outcome, *, served: bool = False) -> None:
+        plan = self._order.plan
+        meter = self._context.meter
+        meter.note_request(plan.service, outcome)
+        meter.note_route(name_age(plan, monotonic()), served)
+
+    def _record_passed_on(self, attempt: Attempt, status: int) -> None:
+        order = self._order
+        told = f'its target answered {status}'
+        course = self._course.describe(order.plan, monotonic())
+        self._context.journal.record(
+            Occurrence(
+                EventCode.REQUEST_FAILED,
+                service=order.plan.service,
+                request=order.passage.request,
+                peer=str(attempt.send.address),
+                step=Step.RELAY_ANSWER.value,
+                detail=f'{told}; {course}',
+            ),
+        )
 
     def _record(self, failure: RequestFailure) -> None:
         self._context.record_failure(
             failure,
             self._order.passage.request,
             self._order.plan.service,
+            self._course.describe(self._order.plan, monotonic()),
         )
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -9,6 +9,7 @@
 from hillfield.model import RequestFailure
 from hillfield.proxy.attempts import Attempt, AttemptOwner
 from hillfield.proxy.context import ProxyContext
+from hillfield.proxy.courses import Course
 from hillfield.proxy.dialects import show_milliseconds
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.orders import Order, describe_likeness
@@ -44,8 +45,10 @@
         context: ProxyContext,
         order: Order,
         dispatching: Dispatching,
+        course: Course,
     ) -> None:
         """Start with none."""
+        self._course = course
         self._order = order
         self._hedge_timer: TimerHandle | None = None
         self.attempts: dict[int, Attempt] = {}
@@ -91,6 +94,7 @@
             now = monotonic()
             self._dispatching.finish(now, send.attempt, CallerGone())
             return refusal
+        self._course.note_sent(send)
         attempt = Attempt(send, self._order, self._tools, owner)
         self.attempts[send.attempt] = attempt
         if self._reason:
@@ -108,6 +112,7 @@
         self.attempts.pop(attempt.send.attempt, None)
         now = monotonic()
         self._reason = type(observation).__name__
+        self._course.note(attempt.written_at, observation)
         if attempt.written_at is not None:
             self.target_seconds += now - attempt.written_at
             self.may_have_run |= not isinstance(observation, _SURELY_NOT_RUN)
--- a/hillfield/proxy/tests/conftest.py
+++ b/hillfield/proxy/tests/conftest.py
@@ -159,6 +159,7 @@
 
     def __init__(self):
         self.counted = []
+        self.routes = []
 
     def note_request(self, service, outcome):
         self.counted.append((service, outcome))
@@ -169,6 +170,9 @@
     def note_retry(self, reason):
         self.counted.append(reason)
 
+    def note_route(self, age, served):
+        self.routes.append((age, served))
+
 
 class RawTarget:
     """Record what comes and answer as a script says, one per request."""
--- /dev/null
+++ b/hillfield/proxy/tests/test_courses.py
@@ -0,0 +1,34 @@
+"""What the line of a failure says of the request's course."""
+
+from msgspec.structs import replace
+
+from hillfield.model import Address, RequestPlan, TargetId, Urgency
+from hillfield.proxy.courses import Course, name_age
+from hillfield.routing.declining import Declined
+from hillfield.routing.requests import Broken, ConnectFailed, Send
+
+PLAN = RequestPlan('fees', 'r-8', '', True, 1)
+HERE = Address('10.0.0.1', 80)
+SEND = Send('x', 1, TargetId('fees', HERE, 1), HERE)
+
+
+def test_a_course_tells_who_declined_and_when_the_first_target_saw_it():
+    course = Course(100.0)
+    course.note(None, Declined('full', None))
+    course.note(None, Declined('shunned', None, lasting=True))
+    course.note(None, ConnectFailed('refused'))
+    course.note_sent(replace(SEND, urgency=Urgency.INSISTS))
+    course.note(100.335, Broken('reset'))
+    course.note(100.348, Broken('reset'))
+    added = replace(PLAN, route_version=7, route_since=97.25)
+    assert course.describe(added, 100.351) == (
+        'route r-8 of version 7, 3.1 s old; 0.351 s: declined 2 '
+        '(1 held back), sent 2, not reached 1, first after 0.335 s, '
+        'insists at last'
+    )
+
+
+def test_routes_are_told_apart_by_their_age():
+    added = replace(PLAN, route_since=5.0)
+    ages = [name_age(plan, 20.0) for plan in (PLAN, added)]
+    assert (*ages, name_age(added, 60.0)) == ('first', 'new', 'older')
--- a/hillfield/proxy/tests/test_faults.py
+++ b/hillfield/proxy/tests/test_faults.py
@@ -391,3 +391,14 @@
         await asyncio.sleep(0)
     assert len(path.plans.heads) == 1
     writer.close()
+
+
+async def test_a_failure_tells_its_request_s_course(path):
+    target = await path.start()
+    target.server.close()
+    await target.server.wait_closed()
+    await path.ask(POST)
+    detail = path.journal.occurrences[-1].detail
+    assert detail.startswith('told; route all since the first table; ')
+    assert detail.endswith('sent 0, not reached 1')
+    assert path.meter.routes == [('first', False)]
--- a/hillfield/routing/recovery.py
+++ b/hillfield/routing/recovery.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from msgspec.structs import replace
+
 from hillfield.model import TargetId
 from hillfield.routing.hedging import hedge_again
 from hillfield.routing.placing import choose_freed
@@ -20,9 +22,11 @@
     describe_reading,
     refuse,
 )
+from hillfield.routing.repeats import UNSENT, find_hindrance
 from hillfield.routing.requests import (
     Done,
     Observation,
+    Refuse,
     Verdict,
     Wait,
 )
@@ -30,13 +34,6 @@
 from hillfield.routing.service import Service
 from hillfield.routing.telling import tell_ending
 
-UNSENT: Final = frozenset(
-    (
-        AttemptTrigger.CONNECT_FAILED,
-        AttemptTrigger.DECLINED,
-        AttemptTrigger.NOTHING_WRITTEN,
-    ),
-)
 PATIENCE: Final = 2.0
 DOUBTFUL: Final = frozenset((AttemptAction.DOUBT, AttemptAction.ABANDON))
 
@@ -97,14 +94,11 @@
 ) -> Verdict:
     """Start the next attempt, let it wait for a slot, or give up."""
     excluded = _find_excluded(service, record, reading)
-    permitted = (
-        excluded is not None
-        and _may_repeat(record)
-        and now + service.need(record) < record.arrival.expires
-        and _take_retry(service, record, reading)
-    )
-    if excluded is None or not permitted:
-        return refuse(service, record, describe_reading(reading))
+    if excluded is None:
+        return _give_up(service, record, reading, 'no other target')
+    hindrance = find_hindrance(service, now, record, reading)
+    if hindrance:
+        return _give_up(service, record, reading, hindrance)
     service.counters.retries += 1
     if not _is_patient(record, reading):
         target = choose_again(service, now, record, excluded)
@@ -130,19 +124,15 @@
     return tuple(verdicts)
 
 
-def _take_retry(
+def _give_up(
     service: Service,
     record: RequestRecord,
     reading: Reading,
-) -> bool:
-    if reading.trigger is AttemptTrigger.DECLINED:
-        # It cost the target nothing; the record bounds how often.
-        return True
-    if reading.trigger in UNSENT:
-        return service.budget.take_unsent()
-    account = record.arrival.plan.account
-    shed = reading.trigger is AttemptTrigger.SHED
-    return service.budget.take_retry(account, shed)
+    reason: str,
+) -> Refuse:
+    cause = describe_reading(reading)
+    told = replace(cause, detail=f'{cause.detail}, {reason}')
+    return refuse(service, record, told)
 
 
 def _is_patient(record: RequestRecord, reading: Reading) -> bool:
@@ -151,15 +141,6 @@
     return last and reading.trigger is AttemptTrigger.SHED
 
 
-def _may_repeat(record: RequestRecord) -> bool:
-    plan = record.arrival.plan
-    if not record.may_try_again():
-        return False
-    if record.is_doubtful():
-        return plan.idempotent and record.arrival.replayable
-    return True
-
-
 def _serve_retry(
     service: Service,
     now: float,
--- a/hillfield/routing/tests/test_fuzz.py
+++ b/hillfield/routing/tests/test_fuzz.py
@@ -36,7 +36,7 @@
     TargetId,
     TargetState,
 )
-from hillfield.routing import Dispatcher, recovery
+from hillfield.routing import Dispatcher, repeats
 from hillfield.routing.records import MAXIMUM_UNSENT
 from hillfield.routing.requests import (
     Answered,
@@ -552,6 +552,6 @@
 
 @mark.seeded
 def test_fuzz_finds_retry_after_unknown(monkeypatch):
-    monkeypatch.setattr(recovery, '_may_repeat', lambda record: True)
+    monkeypatch.setattr(repeats, '_may_repeat', lambda record: True)
     with raises(AssertionError):
         run_faulty()
