--- a/hillfield/experiments/calling/courses.py
+++ b/hillfield/experiments/calling/courses.py
@@ -8,7 +8,7 @@
 
 from hillfield.events import EventCode
 from hillfield.experiments.calling.deployment import Kind
-from hillfield.experiments.calling.targets import ERROR, OK, Run
+from hillfield.experiments.calling.targets import ERROR, OK, RESET, Run
 from hillfield.loadreports import LoadReport
 from hillfield.model import Outcome, RequestPlan
 from hillfield.proxy.running import HEDGE_AGAIN
@@ -16,6 +16,7 @@
 from hillfield.routing.requests import (
     Answered,
     Arrival,
+    Broken,
     CallerGone,
     Observation,
     Refuse,
@@ -211,6 +212,10 @@
         )
 
     def _finish(self, status: int) -> None:
+        if status == RESET:
+            self._end_work(Broken('reset'))
+            self._answer(Broken('unknown'), 0)
+            return
         wrong = 'status' if status == ERROR else ''
         idempotent = self._course.kind.idempotent
         answered = Answered(status, wrong if idempotent else '')
--- a/hillfield/experiments/calling/deployment.py
+++ b/hillfield/experiments/calling/deployment.py
@@ -19,7 +19,8 @@
 
     `rate` is how many come a second in all domains (0: only calls), `work`
     and `spread` the mean of its work and the deviation of its logarithm,
-    `calls` the kind that its work calls, so many times, in `share` of the runs.
+    `calls` the kind that its work calls, so many times, in `share` of the runs,
+    `begins` when its route is added (0: there from the start).
     """
 
     route: str
@@ -38,6 +39,7 @@
     answer_size: int = USUAL_ANSWER
     worth: float = 0
     errors: float = ERRORS
+    begins: float = 0
 
     @property
     def plan(self) -> RequestPlan:
@@ -55,11 +57,15 @@
 
 
 class Spells(Struct, frozen=True):
-    """Say how targets hang: in some stretches, most of what they get."""
+    """Say how targets are sick, in some stretches: most of what they get.
+
+    They never answer a part of it, and reset the connections of another.
+    """
 
     stretch: float
     share: float
     hangs: float
+    resets: float = 0
 
 
 class Burst(Struct, frozen=True):
--- a/hillfield/experiments/calling/play.py
+++ b/hillfield/experiments/calling/play.py
@@ -67,7 +67,10 @@
         for kind in self._deployment.kinds:
             if kind.rate:
                 self._outcome.counts[kind.route] = Counter()
-                self._await_next(kind, seconds - CLOSING)
+                self._clock.call_at(
+                    kind.begins,
+                    partial(self._await_next, kind, seconds - CLOSING),
+                )
         self._clock.run(seconds)
         self._count_repeats()
         self._outcome.declined = self._network.declined
--- a/hillfield/experiments/calling/targets.py
+++ b/hillfield/experiments/calling/targets.py
@@ -10,6 +10,8 @@
 
 OK = 200
 ERROR = 500
+# No answer: the connection is reset.
+RESET = 0
 CallEnd = Callable[[bool], None]
 # Starts a call of the work: its kind, the seconds left, what to do at its end.
 Caller = Callable[[str, float, CallEnd], None]
@@ -85,7 +87,7 @@
     ) -> Run:
         """Start a request; it may never end."""
         run = Run(kind, expires, end)
-        if self.is_sick() and self._random.random() < self._spells.hangs:
+        if self.is_sick() and self._fail(run):
             return run
         if self._random.random() < kind.errors:
             self._clock.call_later(kind.work / 2, partial(run.end, ERROR))
@@ -95,6 +97,15 @@
         self._clock.call_later(seconds, partial(self._finish_work, run))
         return run
 
+    def _fail(self, run: Run) -> bool:
+        drawn = self._random.random()
+        if drawn < self._spells.hangs:
+            return True
+        if drawn >= self._spells.hangs + self._spells.resets:
+            return False
+        self._clock.call_later(float(), partial(run.end, RESET))
+        return True
+
     def _finish_work(self, run: Run) -> None:
         kind = run.kind
         if run.cut:
