Let a request wait at a gate by its own length, not by that of others

Callers saw: requests on routes that had been added (priority 0, 1 s, some 10 ms of work) were told 502 or 503 while others of the same service were served: 5 of 38 against 1,806 of 2,054 in the record.

Cause: a gate dropped from its queue, at each look, what would expire within the mean of all its answers. Where usual work takes longer than a route's whole time, such a request was declined the moment it began to wait, though it led the queue and a slot came free every 0.2 s. It went from gate to gate for a quarter of a second, then insisted, and the gates that took it at once were those of sick targets, which are empty: two broken connections in some 10 ms, as in the record. A route that was added is served worst since its requests have the least time, not since it is new.

Now a request is measured by how long its own route takes. What can still be answered waits its turn; what can't is declined as before.

--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -6,6 +6,7 @@
 
 from hillfield.events import EventCode
 from hillfield.gate.order import Rank
+from hillfield.gate.queue import Place
 from hillfield.gate.shares import is_foreign
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
@@ -66,16 +67,9 @@
         waiting = state.queue.take_all()
         left = tuple(state.refuse(record, LEFT) for record in waiting)
         return (*state.take_declined(), *left)
-    need = find_need(state)
     verdicts: list[Verdict] = [
-        state.refuse(
-            record,
-            replace(
-                LATE,
-                detail=f'{LATE.detail}, {describe_wait(now, record, need)}',
-            ),
-        )
-        for record in state.queue.take_late(now, need)
+        state.refuse(place.record, _explain_late(now, place))
+        for place in state.queue.take_late(now)
     ]
     while len(state.queue) and state.in_flight < target.slots:
         record = state.queue.pop(state.shares.read(now))
@@ -114,6 +108,11 @@
     return max(1, target.slots - hung)
 
 
+def _explain_late(now: float, place: Place) -> Cause:
+    waited = describe_wait(now, place)
+    return replace(LATE, detail=f'{LATE.detail}, {waited}')
+
+
 def _serve(
     state: GateState,
     now: float,
--- a/hillfield/gate/queue.py
+++ b/hillfield/gate/queue.py
@@ -78,16 +78,21 @@
         self._places.clear()
         return records
 
-    def take_late(self, now: float, need: float) -> tuple[RequestRecord, ...]:
-        """Take out those whose wait is over, or that would expire."""
-        late = tuple(
-            place.record
-            for place in self._places
-            if now > place.until or now + need > place.record.arrival.expires
-        )
-        for record in late:
-            self.remove(record)
+    def take_late(self, now: float) -> tuple[Place, ...]:
+        """Take out those whose wait is over, or that would expire.
+
+        Each is measured by how long its own route takes: where others take
+        long, what is short and has little time could else never wait.
+        """
+        late = tuple(place for place in self._places if _is_late(now, place))
+        for place in late:
+            self.remove(place.record)
         return late
 
     def _list_ranks(self) -> tuple[Rank, ...]:
         return tuple(place.rank for place in self._places)
+
+
+def _is_late(now: float, place: Place) -> bool:
+    ends = now + place.rank.cost
+    return now > place.until or ends > place.record.arrival.expires
--- a/hillfield/gate/waiting.py
+++ b/hillfield/gate/waiting.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from hillfield.gate.queue import Place
 from hillfield.gate.state import GateState
 from hillfield.routing.records import RequestRecord
 
@@ -30,9 +31,10 @@
     return max(bound, min(slack, LARGEST_SHARE_OF_WAIT * left))
 
 
-def describe_wait(now: float, record: RequestRecord, need: float) -> str:
+def describe_wait(now: float, place: Place) -> str:
     """Say how long a request has waited in vain, and for what."""
-    waited = now - record.queued_at
-    left = record.arrival.expires - now
+    waited = now - place.record.queued_at
+    left = place.record.arrival.expires - now
+    needs = place.rank.cost
     took = f'waited {waited:.3f} s'
-    return f'{took}, needs {need:.3f} of {left:.3f} s left'
+    return f'{took}, needs {needs:.3f} of {left:.3f} s left'
