Measure a route without an aim by its own length once that is known

The need of such a request was the latency that few requests of the whole service exceed.

Now a route counts with the median of its own answers as soon as one is known, as routes with an aim do; before that as it was. The test: a route with 0.8 s whose requests take 10 ms, at a service whose usual work takes 1 s and whose slots are taken; it was refused before and waits now. This is also the path on which nodes reach targets directly.

--- a/hillfield/routing/durations.py
+++ b/hillfield/routing/durations.py
@@ -84,6 +84,11 @@
             return False
         return self.find(plan).find_quantile(0) <= QUICK_PART * mean
 
+    def knows(self, plan: RequestPlan) -> bool:
+        """Tell whether any request of the plan's route was measured."""
+        found = self._routes.get(plan.route)
+        return found is not None and found.count > ASSUMED
+
     def find(self, plan: RequestPlan) -> Duration:
         """Return what is known of the plan's route."""
         found = self._routes.get(plan.route)
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -172,7 +172,7 @@
         long as they are likelier than not to be answered.
         """
         plan = record.arrival.plan
-        if plan.aim:
+        if plan.aim or self.durations.knows(plan):
             return self.durations.find(plan).find_quantile(0)
         return self.latency()
 
--- a/hillfield/routing/tests/test_patience.py
+++ b/hillfield/routing/tests/test_patience.py
@@ -23,6 +23,7 @@
 
 HERE = Locality('r', 'a', 'h')
 LONG = RequestPlan('s', 'post', '', False, 5, maximum_attempts=2, aim=1.5)
+CHECK = RequestPlan('s', 'check', '', True, 0.8, maximum_attempts=2)
 CALL = RequestPlan('s', 'call', '', True, 1.5, maximum_attempts=2, aim=0.4)
 SLOTS = 2
 AFTER_CROWD = 50
@@ -109,3 +110,20 @@
     for number in range(8):
         send(dispatcher, f'usual{number}', AFTER_CROWD, usual)
     assert isinstance(send(dispatcher, 'low', AFTER_CROWD, short), Wait)
+
+
+def test_without_an_aim_a_short_deadline_is_not_measured_by_other_work(crowded):
+    dispatcher, running = crowded
+    for busy in running:
+        dispatcher.note_written(AFTER_CROWD, busy.attempt)
+        dispatcher.finish(AFTER_CROWD + 1, busy.attempt, Answered(200))
+    for number in range(20):
+        plan, seconds = (LONG, 1) if number % 4 else (CHECK, 0.01)
+        moment = AFTER_CROWD + 2 * number + 2
+        sent = send(dispatcher, f'c{number}', moment, plan)
+        dispatcher.note_written(moment, sent.attempt)
+        dispatcher.finish(moment + seconds, sent.attempt, Answered(200))
+    later = AFTER_CROWD + 50
+    taken = [send(dispatcher, name, later) for name in 'pq']
+    assert [type(verdict) for verdict in taken] == [Send, Send]
+    assert isinstance(send(dispatcher, 'check', later, CHECK), Wait)
