--- a/hillfield/proxy/courses.py
+++ b/hillfield/proxy/courses.py
@@ -25,7 +25,7 @@
 
     >>> course = Course(10.0)
     >>> course.describe(RequestPlan('fees', 'r', '', True, 1), 10.25)
-    'route r since the first table; 0.250 s: declined 0 (0 held back), sent 0'
+    'route r; 0.250 s: declined 0 (0 held back), sent 0'
     """
 
     def __init__(self, began: float) -> None:
@@ -56,10 +56,9 @@
 
     def describe(self, plan: RequestPlan, now: float) -> str:
         """Say which route it took, and how long what took."""
-        age = _describe_age(plan, now)
         spent = now - self._began
         parts = [
-            f'route {plan.route} {age}',
+            _describe_route(plan, now),
             self._describe_declines(spent),
             f'sent {self._sent}',
         ]
@@ -79,20 +78,28 @@
         return f'{spent:.3f} s: {told}'
 
 
-def name_age(plan: RequestPlan, now: float) -> str:
+def name_age(plan: RequestPlan, now: float) -> str | None:
     """Return how long the node has had the route of a request, in a word.
 
-    >>> plan = RequestPlan('fees', 'r', '', True, 1, route_since=5.0)
+    None: it is not known here.
+
+    >>> plan = RequestPlan('fees', 'r', '', True, 1, route_version=2,
+    ...     route_since=5.0)
     >>> name_age(plan, 6.0), name_age(plan, 60.0)
     ('new', 'older')
     """
+    if plan.route_version is None:
+        return None
     if plan.route_since is None:
         return FIRST
     return NEW if now - plan.route_since < NEW_FOR else OLDER
 
 
-def _describe_age(plan: RequestPlan, now: float) -> str:
+def _describe_route(plan: RequestPlan, now: float) -> str:
+    route = f'route {plan.route}'
+    if plan.route_version is None:
+        return route
     if plan.route_since is None:
-        return 'since the first table'
+        return f'{route} since the first table'
     age = now - plan.route_since
-    return f'of version {plan.route_version}, {age:.1f} s old'
+    return f'{route} of version {plan.route_version}, {age:.1f} s old'
--- a/hillfield/proxy/relays.py
+++ b/hillfield/proxy/relays.py
@@ -92,7 +92,9 @@
         plan = self._order.plan
         meter = self._context.meter
         meter.note_request(plan.service, outcome)
-        meter.note_route(name_age(plan, monotonic()), served)
+        age = name_age(plan, monotonic())
+        if age is not None:
+            meter.note_route(age, served)
 
     def _record_passed_on(self, attempt: Attempt, status: int) -> None:
         order = self._order
