Say once what was said twice in the lines of failures, waits and site tests

Found on reading the change again; behaviour is as it was.

A target's failure that is passed on wrote its event by hand, field by field as record_failure does: it is recorded as any other failure now. Its line had no test; one was written and passes on the code before and after. A gate computed the usual length of a route twice for each request that waits, for its rank and for the time that it may wait: the second now takes the first, and how long one may wait is a function of values, without the gate's state. Three tests over an installation opened and ended it alike: play_site serves them; two things that the newest one never used are gone.

--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -146,7 +146,7 @@
     target: Target,
 ) -> Verdict:
     rank, wait = _rank(state, now, record, target)
-    bound = find_bound(state, now, record)
+    bound = find_bound(now, record, rank.cost)
     if wait > bound:
         return state.refuse(record, replace(FULL, retry_after=wait))
     record.follow(RequestTrigger.QUEUE)
--- a/hillfield/gate/waiting.py
+++ b/hillfield/gate/waiting.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from hillfield.gate.queue import Place
-from hillfield.gate.state import GateState
 from hillfield.routing.records import RequestRecord
 
 # Seconds that a request may wait for a slot here, and the part of its time.
@@ -15,18 +14,16 @@
 LARGEST_SHARE_OF_WAIT: Final = 0.5
 
 
-def find_bound(
-    state: GateState,
-    now: float,
-    record: RequestRecord,
-) -> float:
-    """Return the seconds that a request may wait for a slot here."""
+def find_bound(now: float, record: RequestRecord, usual: float) -> float:
+    """Return the seconds that a request may wait for a slot here.
+
+    `usual` is how long the requests of its route take, in seconds.
+    """
     left = record.arrival.expires - now
     bound = min(LONGEST_WAIT, SHARE_OF_WAIT * left)
     plan = record.arrival.plan
     if not plan.aim:
         return bound
-    usual = state.durations.find(plan).find_quantile(0)
     slack = plan.aim - plan.spent - usual
     return max(bound, min(slack, LARGEST_SHARE_OF_WAIT * left))
 
--- a/hillfield/platform/tests/crashers.py
+++ b/hillfield/platform/tests/crashers.py
@@ -6,7 +6,7 @@
 
 from hillfield.events import EventCode
 from hillfield.platform.tests.crashing import CrashingTarget
-from hillfield.platform.tests.installation import open_installation
+from hillfield.platform.tests.installation import play_site
 
 SIX = ('refunds',) * 6
 DEADLY = '/reads/deadly?of=till-7'
@@ -17,16 +17,7 @@
 
 def play_crashing(folder, story, services=SIX):
     """Run a coroutine function over an installation and end it."""
-
-    async def act():
-        async with open_installation(
-            folder,
-            services,
-            make_target=CrashingTarget,
-        ) as site:
-            await story(site)
-
-    asyncio.run(act())
+    play_site(folder, story, services, CrashingTarget)
 
 
 class Callers:
--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -267,3 +267,17 @@
         stack.push_async_callback(site.stop)
         await site.start(services, rules)
         yield site
+
+
+def play_site(folder, story, services, make_target=StandInTarget):
+    """Run a coroutine function over an installation and end it."""
+
+    async def act():
+        async with open_installation(
+            folder,
+            services,
+            make_target=make_target,
+        ) as site:
+            await story(site)
+
+    asyncio.run(act())
--- a/hillfield/platform/tests/test_added_routes.py
+++ b/hillfield/platform/tests/test_added_routes.py
@@ -9,7 +9,7 @@
     RULES,
     make_configuration,
     make_rule,
-    open_installation,
+    play_site,
 )
 from hillfield.platform.tests.standin_target import StandInTarget
 
@@ -46,14 +46,13 @@
         self.asked: Counter[str] = Counter()
         self._random = Random(seed)
 
-    async def send(self, path, method='GET', **more):
+    async def send(self, path, method='GET'):
         host = self._random.choice(self.site.hosts)
         number = self.asked.total()
         name = f'{path}{number}'
         self.asked[path] += 1
-        answer = await self.site.send(host, path, name, method, **more)
+        answer = await self.site.send(host, path, name, method)
         self.served[path] += answer.code == 200
-        return answer
 
     async def send_later(self, seconds):
         await asyncio.sleep(seconds)
@@ -107,12 +106,4 @@
         first = callers.find_share('/refunds/', '/reads/')
         assert callers.find_share(ADDED) >= LEAST_PART * first
 
-    async def act():
-        async with open_installation(
-            tmp_path,
-            SIX,
-            make_target=UnevenTarget,
-        ) as site:
-            await story(site)
-
-    asyncio.run(act())
+    play_site(tmp_path, story, SIX, UnevenTarget)
--- a/hillfield/platform/tests/test_nodes.py
+++ b/hillfield/platform/tests/test_nodes.py
@@ -10,6 +10,7 @@
     make_configuration,
     make_rule,
     open_installation,
+    play_site,
 )
 
 TWO_AND_ONE = ('refunds', 'refunds', 'captures')
@@ -20,11 +21,7 @@
     """Run a coroutine function over an installation and end it."""
 
     def run(story, services=TWO_AND_ONE):
-        async def act():
-            async with open_installation(tmp_path, services) as site:
-                await story(site)
-
-        asyncio.run(act())
+        play_site(tmp_path, story, services)
 
     return run
 
--- a/hillfield/proxy/relays.py
+++ b/hillfield/proxy/relays.py
@@ -97,17 +97,14 @@
             meter.note_route(age, served)
 
     def _record_passed_on(self, attempt: Attempt, status: int) -> None:
-        order = self._order
-        told = f'its target answered {status}'
-        course = self._course.describe(order.plan, monotonic())
-        self._context.journal.record(
-            Occurrence(
-                EventCode.REQUEST_FAILED,
-                service=order.plan.service,
-                request=order.passage.request,
-                peer=str(attempt.send.address),
-                step=Step.RELAY_ANSWER.value,
-                detail=f'{told}; {course}',
+        self._record(
+            RequestFailure(
+                status,
+                Outcome.ANSWERED,
+                Step.RELAY_ANSWER,
+                str(attempt.send.address),
+                int(EventCode.REQUEST_FAILED),
+                f'its target answered {status}',
             ),
         )
 
--- a/hillfield/proxy/tests/test_faults.py
+++ b/hillfield/proxy/tests/test_faults.py
@@ -402,3 +402,16 @@
     assert detail.startswith('told; route all; ')
     assert detail.endswith('sent 0, not reached 1')
     assert not path.meter.routes
+
+
+async def test_a_target_s_own_failure_is_passed_on_with_its_course(path):
+    await path.start(WRONG)
+    head, _ = await path.ask(POST)
+    assert head.startswith(b'HTTP/1.1 500 ')
+    told = path.journal.occurrences[-1]
+    assert (told.code, told.step) == (EventCode.REQUEST_FAILED, 'relay-answer')
+    assert told.peer
+    opening = 'its target answered 500; route all; '
+    assert told.detail.startswith(opening)
+    course = 'declined 0 (0 held back), sent 1, first after '
+    assert course in told.detail
