Count and tell of headers in targets' answers that nobody reads

Now each unknown name has one log line (ANSWER_HEADER_UNREAD, 3538) and a counter (hillfield_unread_headers_total); 16 names are told apart, so a target that invents them costs nothing. No decision is changed.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -57,6 +57,7 @@
     CRASHING_REQUEST_FOUND = 3535
     CRASHING_REQUEST_CLEARED = 3536
     CRASHING_REQUEST_NOT_STORED = 3537
+    ANSWER_HEADER_UNREAD = 3538
     NEIGHBOUR_HEARD = 4001
     NEIGHBOUR_SILENT = 4002
     MEMBER_JOINED = 4003
@@ -150,6 +151,7 @@
         EventCode.CRASHING_REQUEST_FOUND: 'warning',
         EventCode.CRASHING_REQUEST_CLEARED: 'info',
         EventCode.CRASHING_REQUEST_NOT_STORED: 'warning',
+        EventCode.ANSWER_HEADER_UNREAD: 'info',
         EventCode.NEIGHBOUR_HEARD: 'info',
         EventCode.NEIGHBOUR_SILENT: 'warning',
         EventCode.MEMBER_JOINED: 'info',
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -157,6 +157,9 @@
         """Tell whether an answer belongs to the request of this id."""
         return names_request(request, headers)
 
+    def note_headers(self, headers: HTTPHeaders) -> None:
+        """Look at none: the node beside the target has done so."""
+
     @property
     def sends_signs(self) -> bool:
         """Tell that gates send interim answers of their own."""
--- a/hillfield/metrics/node.py
+++ b/hillfield/metrics/node.py
@@ -58,6 +58,12 @@
             'Load reports between nodes, by direction.',
             'direction',
         )
+        self._unread_headers = BoundCounter(
+            registry,
+            'hillfield_unread_headers',
+            "Headers of the target's answers that no part reads, by name.",
+            'header',
+        )
         ProcessCollector(registry=registry)
 
     def watch(self, source: ReadingSource) -> None:
@@ -84,6 +90,10 @@
         """Count load reports: `sent`, `received` or `passed` on."""
         self._datagrams.count((direction,), times)
 
+    def note_unread_header(self, name: str) -> None:
+        """Count a header that no part reads; few names are told apart."""
+        self._unread_headers.count((name,))
+
     def render(self) -> Iterator[bytes]:
         """Yield the text format of Prometheus in pieces of short work."""
         return render_pieces(self.registry)
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -5,8 +5,7 @@
 
 from hillfield.fleet.feeds import FeedSettings
 from hillfield.fleet.openrelay import CHECK
-from hillfield.gate import HopDialect, Seat
-from hillfield.gate.seating import Seating
+from hillfield.gate import HopDialect, Seat, Seating
 from hillfield.holding import make_budget, make_limits, share_with_callers
 from hillfield.hostroutes import HostPlanner, PlannerSettings, make_policy
 from hillfield.model import Address
@@ -29,6 +28,7 @@
 )
 from hillfield.platform.routes import KEY, read_routes
 from hillfield.platform.store import PlatformStore
+from hillfield.platform.unread import UnreadHeaders
 from hillfield.proxy import ProxySettings
 from hillfield.store import FollowSettings, RetrySettings, StoreSettings
 
@@ -142,7 +142,13 @@
             # Nodes send one request at a time on a connection.
             pipeline_depth=1,
             callers=HOPS,
-            targets=TargetHeaders(self.find_seat),
+            targets=TargetHeaders(
+                self.find_seat,
+                UnreadHeaders(
+                    self._recording.journal,
+                    self._recording.metrics.note_unread_header,
+                ),
+            ),
             budget=self._budget,
         )
 
--- a/hillfield/platform/headers.py
+++ b/hillfield/platform/headers.py
@@ -8,6 +8,7 @@
 
 from hillfield.gate import Seat
 from hillfield.model import AnswerChecks, RequestPlan, TargetId
+from hillfield.platform.unread import UnreadHeaders
 from hillfield.proxy.dialects import (
     CallerDialect,
     names_request,
@@ -57,9 +58,14 @@
 class TargetHeaders:
     """Speak with the host's target; `find_seat` names its present life."""
 
-    def __init__(self, find_seat: Callable[[], Seat | None]) -> None:
-        """Ask for the seat at each request."""
+    def __init__(
+        self,
+        find_seat: Callable[[], Seat | None],
+        unread: UnreadHeaders,
+    ) -> None:
+        """Ask for the seat at each request; `unread` sees all headers."""
         self._find_seat = find_seat
+        self._unread = unread
 
     def add_fields(
         self,
@@ -98,6 +104,10 @@
         """Tell whether an answer belongs to the request of this id."""
         return names_request(request, headers)
 
+    def note_headers(self, headers: HTTPHeaders) -> None:
+        """Count those that the adapter has no word for."""
+        self._unread.note(headers)
+
     @property
     def sends_signs(self) -> bool:
         """Tell that interim answers come of the target itself."""
--- a/hillfield/proxy/dialects.py
+++ b/hillfield/proxy/dialects.py
@@ -74,6 +74,9 @@
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
 
+    def note_headers(self, headers: HTTPHeaders) -> None:
+        """Look at the headers of an answer that belongs to its request."""
+
     @property
     def sends_signs(self) -> bool:
         """Tell whether interim answers are signs of life of a node."""
@@ -117,6 +120,9 @@
         """Believe the connection: these targets answer in order."""
         return True
 
+    def note_headers(self, headers: HTTPHeaders) -> None:
+        """Look at none: all that these targets say is documented."""
+
     @property
     def sends_signs(self) -> bool:
         """Tell that interim answers come of the target itself."""
--- a/hillfield/proxy/incoming.py
+++ b/hillfield/proxy/incoming.py
@@ -58,6 +58,7 @@
         self.alive = True
         self.start_line = start_line
         self.headers = headers
+        self._dialect.note_headers(headers)
         code = start_line.code
         self.failure = self._dialect.read_failure(code, headers)
         return True
