--- a/hillfield/platform/tests/standin_target.py
+++ b/hillfield/platform/tests/standin_target.py
@@ -1,6 +1,7 @@
 """A stand-in of the platform's target, by its published behaviour."""
 
 import asyncio
+from time import monotonic
 from typing import Any
 
 from msgspec import Struct
@@ -28,7 +29,9 @@
 
     Moods: `well`, `reset` (ends the connection unanswered after the run),
     `error` (500), `hang`, `full` (refuses), `unsigned` (no digest), `stray`
-    (answers the request before once more first), `loose` (no length).
+    (answers the request before once more first), `loose` (no length). It says
+    `notice` of itself in all its answers, and notes in `arrivals` the moments
+    and ids of all requests that reach it.
     """
 
     def __init__(self, address, service, name, seconds=0.005):
@@ -37,6 +40,8 @@
         self.name = name
         self.seconds = seconds
         self.mood = 'well'
+        self.notice = {}
+        self.arrivals = []
         self.sequence = 0
         self.runs = []
         self.refused = []
@@ -105,6 +110,9 @@
     async def prepare(self):
         headers = self.request.headers
         target = self.target
+        target.arrivals.append((monotonic(), headers.get('X-Request-Id', '')))
+        for name, text in target.notice.items():
+            self.set_header(name, text)
         is_meant = headers.get('X-Target-Instance', target.name) == target.name
         is_free = target.mood != 'full' and 'X-Request-Id' in headers
         if is_meant and is_free:
