Hold the requests to a target to the limit that it names, at its gate

What targets saw: one that named 2.4 requests a second got 80 in 4 s, as many as before; the platform's rule allows 19.4. Cause: nothing read the word. The gate sent whatever found a free slot.

Now the gate, which sees every request of the fleet to its target, keeps a bucket at the named rate (RateLimit): first attempts, repeats, second attempts, trials, calls and what waits in its queue all pass GateState.send, so the sum over the fleet holds without a message. Shares at the callers' nodes were ruled out: they need news to agree on, waste what a node does not use, and are wrong while a node starts or is cut off. What doesn't fit is told at once that it has not run, and when its turn would come (TARGET_LIMITED, 3517); the room that the gate reports is bounded by the turns left.

An answer is believed if it would be passed on: whole or begun to be relayed, with the target's digest, not a 421. Answers overlap, so what allows more counts only if its request was sent after the word it replaces was heard. What can't be read changes nothing and has a line (TARGET_NOTICE_UNREAD). Another life starts without a limit.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -46,6 +46,7 @@
     ANSWER_WRONG = 3514
     TARGET_DECLINED = 3515
     TARGET_HELD_BACK = 3516
+    TARGET_LIMITED = 3517
     RETRY_BUDGET_EMPTY = 3520
     OVERLOAD_STARTED = 3521
     OVERLOAD_ENDED = 3522
@@ -58,6 +59,9 @@
     CRASHING_REQUEST_CLEARED = 3536
     CRASHING_REQUEST_NOT_STORED = 3537
     ANSWER_HEADER_UNREAD = 3538
+    TARGET_LIMIT_NAMED = 3539
+    TARGET_LIMIT_ENDED = 3540
+    TARGET_NOTICE_UNREAD = 3541
     NEIGHBOUR_HEARD = 4001
     NEIGHBOUR_SILENT = 4002
     MEMBER_JOINED = 4003
@@ -140,6 +144,7 @@
         EventCode.ANSWER_WRONG: 'error',
         EventCode.TARGET_DECLINED: 'info',
         EventCode.TARGET_HELD_BACK: 'info',
+        EventCode.TARGET_LIMITED: 'info',
         EventCode.RETRY_BUDGET_EMPTY: 'warning',
         EventCode.OVERLOAD_STARTED: 'warning',
         EventCode.OVERLOAD_ENDED: 'info',
@@ -152,6 +157,9 @@
         EventCode.CRASHING_REQUEST_CLEARED: 'info',
         EventCode.CRASHING_REQUEST_NOT_STORED: 'warning',
         EventCode.ANSWER_HEADER_UNREAD: 'info',
+        EventCode.TARGET_LIMIT_NAMED: 'warning',
+        EventCode.TARGET_LIMIT_ENDED: 'info',
+        EventCode.TARGET_NOTICE_UNREAD: 'warning',
         EventCode.NEIGHBOUR_HEARD: 'info',
         EventCode.NEIGHBOUR_SILENT: 'warning',
         EventCode.MEMBER_JOINED: 'info',
--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -5,8 +5,10 @@
 from msgspec.structs import replace
 
 from hillfield.events import EventCode
+from hillfield.gate.limit import show_rate
 from hillfield.gate.order import Rank
 from hillfield.gate.queue import Place
+from hillfield.gate.room import count_room, find_wait
 from hillfield.gate.shares import is_foreign
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
@@ -17,8 +19,6 @@
 from hillfield.routing.refusals import Cause
 from hillfield.routing.requests import Arrival, Verdict, Wait
 
-# Seconds of an attempt while nothing has been measured.
-FIRST_NEED: Final = 0.02
 # Seconds after which a refused request may come back.
 COME_BACK: Final = 0.05
 
@@ -43,6 +43,7 @@
 DOUBTED: Final = _describe('the target is suspected')
 FULL: Final = _describe('all slots are taken')
 LATE: Final = _describe('no slot was free in time')
+LIMITED: Final = _describe('the target takes', EventCode.TARGET_LIMITED)
 OUTRANKED: Final = _describe('others go first')
 
 
@@ -55,7 +56,7 @@
     cause = _find_doubt(state, now, record)
     if cause is not None:
         return state.refuse(record, cause)
-    if state.in_flight < target.slots and not len(state.queue):
+    if not len(state.queue) and count_room(state, now, target):
         return state.send(now, record, target)
     return _wait(state, now, record, target)
 
@@ -71,48 +72,28 @@
         state.refuse(place.record, _explain_late(now, place))
         for place in state.queue.take_late(now)
     ]
-    while len(state.queue) and state.in_flight < target.slots:
+    while len(state.queue) and count_room(state, now, target):
         record = state.queue.pop(state.shares.read(now))
         verdicts.append(_serve(state, now, record, target))
     return (*state.take_declined(), *verdicts)
 
 
-def find_need(state: GateState) -> float:
-    """Return the seconds that an attempt takes as a rule."""
-    return state.latency.mean or FIRST_NEED
-
-
-def find_wait(
-    state: GateState,
-    target: Target,
-    ahead: int | None = None,
-) -> float:
-    """Return the seconds that one more would wait for a slot.
-
-    `ahead` is how many go before it (None: all that wait, as before one of
-    the lowest rank).
-    """
-    before = len(state.queue) if ahead is None else ahead
-    return (before + 1) * find_need(state) / count_usable(state, target)
-
-
-def count_usable(state: GateState, target: Target) -> int:
-    """Return the slots that do useful work: one whose request hangs doesn't.
-
-    It is 1 at the least: what is held back says that none does.
-    """
-    attempts = state.ledger.attempts.values()
-    hung = sum(
-        attempt.hung for attempt in attempts if attempt.target.id == target.id
-    )
-    return max(1, target.slots - hung)
-
-
 def _explain_late(now: float, place: Place) -> Cause:
     waited = describe_wait(now, place)
     return replace(LATE, detail=f'{LATE.detail}, {waited}')
 
 
+def _explain_full(state: GateState, now: float, wait: float) -> Cause:
+    """Say whether slots or the target's own limit leave no room."""
+    rate = state.limit.rate
+    turn = state.limit.find_wait(now, len(state.queue))
+    if rate is None or turn < wait:
+        return replace(FULL, retry_after=wait)
+    state.limit.declined += 1
+    detail = f'{LIMITED.detail} {show_rate(rate)}'
+    return replace(LIMITED, detail=detail, retry_after=wait)
+
+
 def _serve(
     state: GateState,
     now: float,
@@ -148,7 +129,7 @@
     rank, wait = _rank(state, now, record, target)
     bound = find_bound(now, record, rank.cost)
     if wait > bound:
-        return state.refuse(record, replace(FULL, retry_after=wait))
+        return state.refuse(record, _explain_full(state, now, wait))
     record.follow(RequestTrigger.QUEUE)
     record.queued_at = now
     state.queue.push(record, rank, now + bound)
@@ -165,7 +146,7 @@
     if last is None:
         return
     ahead, place = last
-    wait = find_wait(state, target, ahead)
+    wait = find_wait(state, now, target, ahead)
     if now + wait > place.until:
         state.queue.remove(place.record)
         cause = replace(OUTRANKED, retry_after=wait)
@@ -190,9 +171,10 @@
         foreign=is_foreign(plan),
         cost=usual,
     )
-    wait = find_wait(state, target, state.queue.count_ahead(rank, parts))
+    before = state.queue.count_ahead(rank, parts)
+    wait = find_wait(state, now, target, before)
     if not plan.aim or plan.spent + wait + usual <= plan.aim:
         return rank, wait
     late = replace(rank, late=True)
     ahead = state.queue.count_ahead(late, parts)
-    return late, find_wait(state, target, ahead)
+    return late, find_wait(state, now, target, ahead)
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -12,6 +12,7 @@
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.completion import finish
 from hillfield.gate.endings import is_success
+from hillfield.gate.limit import RateLimit
 from hillfield.gate.notes import GateNotes
 from hillfield.gate.seat import Seat
 from hillfield.gate.standing import Standing
@@ -70,6 +71,7 @@
             if before is not None:
                 self.on_replaced(before.target.id)
             state.standing = Standing()
+            state.limit = RateLimit()
             state.latency = Latency()
             state.record(
                 EventCode.GATE_SEATED,
--- /dev/null
+++ b/hillfield/gate/hearing.py
@@ -0,0 +1,36 @@
+"""What the gate makes of what its target says of itself in an answer."""
+
+from hillfield.events import EventCode
+from hillfield.gate.limit import show_rate
+from hillfield.gate.seat import Seat
+from hillfield.gate.state import GateState
+from hillfield.model import TargetNotice
+from hillfield.routing.records import AttemptRecord
+
+
+def hear(
+    state: GateState,
+    now: float,
+    attempt: AttemptRecord,
+    notice: TargetNotice,
+) -> None:
+    """Take the word of the life that is served; none other's counts."""
+    seat = state.seat
+    if seat is None or seat.target.id != attempt.target.id:
+        return
+    if notice.unread is not None:
+        state.record(EventCode.TARGET_NOTICE_UNREAD, seat, notice.unread)
+        return
+    before = state.limit.rate
+    if state.limit.hear(now, attempt.started, notice.rate):
+        _record_limit(state, seat, before)
+
+
+def _record_limit(state: GateState, seat: Seat, before: float | None) -> None:
+    was = '' if before is None else f'before: {show_rate(before)}'
+    rate = state.limit.rate
+    if rate is None:
+        state.record(EventCode.TARGET_LIMIT_ENDED, seat, was)
+        return
+    told = '; '.join(filter(None, (show_rate(rate), was)))
+    state.record(EventCode.TARGET_LIMIT_NAMED, seat, told)
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -153,6 +153,13 @@
         told = headers.get(ROOM)
         return None if told is None else read_room(target, told)
 
+    def read_notice(
+        self,
+        status: int,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Return nothing: the gate tells what its target says."""
+
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
         return names_request(request, headers)
--- a/hillfield/gate/notes.py
+++ b/hillfield/gate/notes.py
@@ -5,10 +5,11 @@
 
 from hillfield.crashes import Run, TargetEnd
 from hillfield.events import EventCode, Occurrence
+from hillfield.gate.hearing import hear
 from hillfield.gate.reporting import report_load
 from hillfield.gate.state import GateState
 from hillfield.loadreports.reports import LoadReport
-from hillfield.model import TargetId
+from hillfield.model import TargetId, TargetNotice
 from hillfield.routing.phases import AttemptTrigger
 
 MILLISECONDS: Final = 1000
@@ -49,6 +50,17 @@
     def note_silent(self, now: float, attempt: int) -> None:
         """Ignore it: targets send no signs of life."""
 
+    def note_notice(
+        self,
+        now: float,
+        attempt: int,
+        notice: TargetNotice,
+    ) -> None:
+        """Take what the target says of itself in an attempt's answer."""
+        found = self._state.ledger.find(attempt)
+        if found is not None:
+            hear(self._state, now, found, notice)
+
     def adopt_report(self, now: float, report: LoadReport) -> None:
         """Ignore it: targets don't tell of their room."""
 
--- a/hillfield/gate/reporting.py
+++ b/hillfield/gate/reporting.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from hillfield.gate.admission import count_usable, find_wait
+from hillfield.gate.room import count_room, count_usable, find_wait
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import DOUBT_SCORE, weigh_running
 from hillfield.loadreports.reports import Held, LoadReport
@@ -21,7 +21,7 @@
     if target is None:
         return None
     waiting = len(state.queue)
-    free = 0 if waiting else max(0, target.slots - state.in_flight)
+    free = 0 if waiting else count_room(state, now, target)
     return LoadReport(
         target.id.service,
         target.id.address.ip,
@@ -31,7 +31,7 @@
         free,
         waiting,
         _find_held(state, now),
-        0 if free else round(find_wait(state, target), WAIT_DIGITS),
+        0 if free else round(find_wait(state, now, target), WAIT_DIGITS),
         count_usable(state, target),
     )
 
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -7,6 +7,7 @@
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.gate.ages import AgeTrust
 from hillfield.gate.calls import FailedCalls
+from hillfield.gate.limit import RateLimit
 from hillfield.gate.queue import GateQueue
 from hillfield.gate.seat import Seat
 from hillfield.gate.shares import AccountShares, is_foreign
@@ -33,6 +34,7 @@
     journal: Journal
     seat: Seat | None = None
     standing: Standing = field(default_factory=Standing)
+    limit: RateLimit = field(default_factory=RateLimit)
     ledger: Ledger = field(default_factory=Ledger)
     queue: GateQueue = field(default_factory=GateQueue)
     latency: Latency = field(default_factory=Latency)
@@ -101,6 +103,7 @@
     def send(self, now: float, record: RequestRecord, target: Target) -> Send:
         """Start an attempt."""
         self.standing.begin(now)
+        self.limit.take(now)
         plan = record.arrival.plan
         if not is_foreign(plan):
             usual = self.durations.find(plan).find_quantile(0)
--- a/hillfield/model/__init__.py
+++ b/hillfield/model/__init__.py
@@ -1,6 +1,7 @@
 """Immutable values that all parts of hillfield share."""
 
 from hillfield.model.addresses import Address, parse_address
+from hillfield.model.notices import SAYS_NOTHING, TargetNotice
 from hillfield.model.outcomes import Outcome, RequestFailure, Step
 from hillfield.model.plans import (
     AnswerChecks,
@@ -18,10 +19,12 @@
     'Outcome',
     'RequestFailure',
     'RequestPlan',
+    'SAYS_NOTHING',
     'ServicePolicy',
     'Step',
     'Target',
     'TargetId',
+    'TargetNotice',
     'TargetState',
     'Urgency',
     'is_struct',
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -20,6 +20,7 @@
     ONCE,
     REPEATABLE,
     SIGNED,
+    WORDS,
     TargetHeaders,
 )
 from hillfield.platform.heartbeats import (
@@ -28,8 +29,7 @@
 )
 from hillfield.platform.routes import KEY, read_routes
 from hillfield.platform.store import PlatformStore
-from hillfield.platform.unread import UnreadHeaders
-from hillfield.proxy import ProxySettings
+from hillfield.proxy import ProxySettings, UnreadHeaders
 from hillfield.store import FollowSettings, RetrySettings, StoreSettings
 
 # Seconds of a connection attempt between hosts, whose way takes 3 ms: one
@@ -145,6 +145,7 @@
             targets=TargetHeaders(
                 self.find_seat,
                 UnreadHeaders(
+                    WORDS.list_names(),
                     self._recording.journal,
                     self._recording.metrics.note_unread_header,
                 ),
--- a/hillfield/platform/headers.py
+++ b/hillfield/platform/headers.py
@@ -7,15 +7,15 @@
 from tornado.httputil import HTTPHeaders
 
 from hillfield.gate import Seat
-from hillfield.model import AnswerChecks, RequestPlan, TargetId
-from hillfield.platform.unread import UnreadHeaders
+from hillfield.model import AnswerChecks, RequestPlan
 from hillfield.proxy.dialects import (
     CallerDialect,
-    names_request,
     read_retry_after,
     show_milliseconds,
 )
 from hillfield.proxy.fields import Fields
+from hillfield.proxy.notices import AnswerWords, NoticingDialect
+from hillfield.proxy.unread import UnreadHeaders
 from hillfield.routing.requests import Observation, Send, Shed
 
 # Milliseconds that the sender will wait.
@@ -32,6 +32,11 @@
 # Says that a target did not run the request, whatever the status.
 NOT_RUN: Final = 'X-Not-Executed'
 MISDIRECTED: Final[int] = HTTPStatus.MISDIRECTED_REQUEST
+WORDS: Final = AnswerWords(
+    SIGNATURE,
+    limit='Server-Limit',
+    others=frozenset((NOT_RUN, 'X-Server-Load', 'X-Instance-Id')),
+)
 
 # What only a node may say, or what it says anew, ends at the node.
 OWN: Final = frozenset((DEADLINE, TARGET_NAME, ORIGIN, ACCOUNT))
@@ -55,7 +60,7 @@
 REPEATABLE: Final = AnswerChecks(relays_wrong=True)
 
 
-class TargetHeaders:
+class TargetHeaders(NoticingDialect):
     """Speak with the host's target; `find_seat` names its present life."""
 
     def __init__(
@@ -64,8 +69,8 @@
         unread: UnreadHeaders,
     ) -> None:
         """Ask for the seat at each request; `unread` sees all headers."""
+        super().__init__(WORDS, unread)
         self._find_seat = find_seat
-        self._unread = unread
 
     def add_fields(
         self,
@@ -92,23 +97,3 @@
         if status == MISDIRECTED or NOT_RUN in headers:
             return Shed(read_retry_after(headers))
         return None
-
-    def read_room(
-        self,
-        target: TargetId,
-        headers: HTTPHeaders,
-    ) -> None:
-        """Return nothing: targets don't tell of their room."""
-
-    def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
-        """Tell whether an answer belongs to the request of this id."""
-        return names_request(request, headers)
-
-    def note_headers(self, headers: HTTPHeaders) -> None:
-        """Count those that the adapter has no word for."""
-        self._unread.note(headers)
-
-    @property
-    def sends_signs(self) -> bool:
-        """Tell that interim answers come of the target itself."""
-        return False
--- a/hillfield/platform/tests/test_names.py
+++ b/hillfield/platform/tests/test_names.py
@@ -9,7 +9,7 @@
 # Names of the platform's pages that no other protocol here has.
 NAMES = re.compile(
     'X-Deadline(?!-Ms)|X-Target-Instance|X-Caller-Service|X-Server-Signature'
-    '|X-Server-Load|X-Not-Executed|X-Instance-Id|/kv-|expectedRev|hasMore'
+    '|X-Server-Load|Server-Limit|Server-Leaving|X-Not-Executed|X-Instance-Id|/kv-|expectedRev|hasMore'
     '|currentRev|HILLFIELD_BOOT|appAddr|heartbeatS|warmupLeftS|trafficSplit'
     '|X-Tenant|ratePerS|apiKeys|targetLatencyS|timeoutS|maxAttempts|op/config|internalPorts|waitMs'
 )
--- a/hillfield/proxy/__init__.py
+++ b/hillfield/proxy/__init__.py
@@ -5,6 +5,7 @@
 from hillfield.proxy.ports import PlanSource, RequestHead
 from hillfield.proxy.server import ProxyServer
 from hillfield.proxy.settings import ProxySettings
+from hillfield.proxy.unread import UnreadHeaders
 
 __all__ = (
     'PlanSource',
@@ -12,5 +13,6 @@
     'ProxySettings',
     'RequestHead',
     'RequestMeter',
+    'UnreadHeaders',
     'freeze_startup_memory',
 )
--- a/hillfield/proxy/dialects.py
+++ b/hillfield/proxy/dialects.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from hillfield.loadreports import LoadReport
-from hillfield.model import RequestPlan, TargetId
+from hillfield.model import RequestPlan, TargetId, TargetNotice
 from hillfield.proxy.fields import Fields
 from hillfield.routing.requests import Observation, Send, Shed
 
@@ -71,6 +71,13 @@
     ) -> LoadReport | None:
         """Return what an answer tells of the room at its target, if so."""
 
+    def read_notice(
+        self,
+        status: int,
+        headers: HTTPHeaders,
+    ) -> TargetNotice | None:
+        """Return what an answer says of its target; None: it can't say."""
+
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Tell whether an answer belongs to the request of this id."""
 
@@ -116,6 +123,13 @@
     ) -> None:
         """Return nothing: targets don't tell of their room."""
 
+    def read_notice(
+        self,
+        status: int,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Return nothing: targets say nothing of themselves."""
+
     def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
         """Believe the connection: these targets answer in order."""
         return True
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -181,6 +181,7 @@
             self.fail(failure)
 
     def _begin_relay(self, attempt: Attempt) -> Awaitable[None]:
+        self._running.hear(attempt)
         self._running.cut(attempt)
         return self._relay.begin(attempt)
 
--- a/hillfield/proxy/incoming.py
+++ b/hillfield/proxy/incoming.py
@@ -4,7 +4,7 @@
 
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
-from hillfield.model import AnswerChecks
+from hillfield.model import AnswerChecks, TargetNotice
 from hillfield.proxy.checks import find_wrong_body, find_wrong_head
 from hillfield.proxy.dialects import TargetDialect
 from hillfield.routing.requests import Answered, Broken, Observation
@@ -18,7 +18,8 @@
 
     `failure` is what an answer means that no target's work has made, `stray`
     says that it belongs to an earlier request of the connection, `alive` that
-    anything at all has come in answer.
+    anything at all has come in answer, `notice` is what it says of the target
+    that gave it.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         self.relaying = False
         self.stray = False
         self.failure: Observation | None = None
+        self.notice: TargetNotice | None = None
         self._checks = checks
         self._method = method
         self._dialect = dialect
@@ -61,6 +63,7 @@
         self._dialect.note_headers(headers)
         code = start_line.code
         self.failure = self._dialect.read_failure(code, headers)
+        self.notice = self._dialect.read_notice(code, headers)
         return True
 
     def allows_reuse(self) -> bool:
--- /dev/null
+++ b/hillfield/proxy/notices.py
@@ -0,0 +1,98 @@
+"""Read what targets say of themselves in the headers of their answers."""
+
+import re
+from http import HTTPStatus
+from typing import Final
+
+from msgspec import Struct
+from tornado.httputil import HTTPHeaders
+
+from hillfield.model import SAYS_NOTHING, TargetId, TargetNotice
+from hillfield.proxy.dialects import names_request
+from hillfield.proxy.unread import UnreadHeaders
+
+# A longer one is no limit that anybody means.
+DECIMAL: Final = re.compile(r'\d{1,9}(?:\.\d{1,9})?', re.ASCII)
+# Characters that are shown of a word that can't be read.
+SHOWN: Final = 40
+
+
+class AnswerWords(Struct, frozen=True):
+    """Name the headers of targets' answers, as tornado normalises them.
+
+    `digest`: only the target that made the answer can write it; `limit`: the
+    requests a second that it takes from all nodes together; `others` are read
+    elsewhere, or need not be read.
+    """
+
+    digest: str
+    limit: str
+    others: frozenset[str] = frozenset()
+
+    def list_names(self) -> frozenset[str]:
+        """Return all headers that there is a word for."""
+        return self.others | {self.digest, self.limit}
+
+
+class NoticingDialect:
+    """Read what is alike in targets' answers, whatever the headers' names."""
+
+    def __init__(self, words: AnswerWords, unread: UnreadHeaders) -> None:
+        """Read by these words; `unread` sees all headers."""
+        self._words = words
+        self._unread = unread
+
+    def read_notice(
+        self,
+        status: int,
+        headers: HTTPHeaders,
+    ) -> TargetNotice | None:
+        """Return what an answer says of its target; None: it can't say.
+
+        Without its digest it is not the target's, nor if it says that it is
+        another life's.
+        """
+        misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+        if misdirected or self._words.digest not in headers:
+            return None
+        return read_notice(headers, self._words)
+
+    def read_room(self, target: TargetId, headers: HTTPHeaders) -> None:
+        """Return nothing: targets don't tell of their room."""
+
+    def is_answer_to(self, request: str, headers: HTTPHeaders) -> bool:
+        """Tell whether an answer belongs to the request of this id."""
+        return names_request(request, headers)
+
+    def note_headers(self, headers: HTTPHeaders) -> None:
+        """Count those that there is no word for."""
+        self._unread.note(headers)
+
+    @property
+    def sends_signs(self) -> bool:
+        """Tell that interim answers come of the target itself."""
+        return False
+
+
+def read_notice(headers: HTTPHeaders, words: AnswerWords) -> TargetNotice:
+    """Return what an answer's headers say of its target.
+
+    Of several limits the least counts. One that can't be read says nothing:
+    it neither lifts the limit that holds nor makes one.
+
+    >>> words = AnswerWords('Digest', 'Limit')
+    >>> read_notice(HTTPHeaders({'Limit': '2.4'}), words).rate
+    2.4
+    >>> read_notice(HTTPHeaders({'Limit': '3, 2'}), words).rate
+    2.0
+    >>> read_notice(HTTPHeaders({'Limit': '-1'}), words).unread
+    '-1'
+    >>> read_notice(HTTPHeaders(), words).rate
+    """
+    told = headers.get(words.limit)
+    if told is None:
+        return SAYS_NOTHING
+    parts = [part.strip() for part in told.split(',')]
+    if all(map(DECIMAL.fullmatch, parts)):
+        return TargetNotice(min(map(float, parts)))
+    return TargetNotice(unread=told[:SHOWN])
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -17,6 +17,7 @@
 from hillfield.routing.declining import Declined
 from hillfield.routing.ports import Dispatching
 from hillfield.routing.requests import (
+    Answered,
     CallerGone,
     NothingWritten,
     Observation,
@@ -30,6 +31,8 @@
 # Seconds after which a second attempt that found neither target nor budget is
 # tried again: slots come free about so often.
 HEDGE_AGAIN: Final = 0.1
+# Ends of an answer that has come whole.
+_WHOLE: Final = (Answered, Shed)
 _SURELY_NOT_RUN: Final = (Shed, Declined)
 
 
@@ -113,6 +116,8 @@
         now = monotonic()
         self._reason = type(observation).__name__
         self._course.note(attempt.written_at, observation)
+        if isinstance(observation, _WHOLE):
+            self.hear(attempt)
         if attempt.written_at is not None:
             self.target_seconds += now - attempt.written_at
             self.may_have_run |= not isinstance(observation, _SURELY_NOT_RUN)
@@ -122,6 +127,15 @@
             observation,
         )
 
+    def hear(self, attempt: Attempt) -> None:
+        """Tell what the target says of itself, once an answer is believed."""
+        notice = attempt.answer.notice
+        if notice is not None:
+            attempt.answer.notice = None
+            now = monotonic()
+            number = attempt.send.attempt
+            self._dispatching.note_notice(now, number, notice)
+
     def cut(self, winner: Attempt | None = None) -> None:
         """Cancel all attempts but the winner at their targets."""
         if self._hedge_timer is not None:
--- a/hillfield/proxy/tests/conftest.py
+++ b/hillfield/proxy/tests/conftest.py
@@ -78,6 +78,9 @@
     def adopt_report(self, now, report):
         self.seen.append(('room', report))
 
+    def note_notice(self, now, attempt, notice):
+        self.seen.append(('notice', attempt, notice))
+
     def note_silent(self, now, attempt):
         self.seen.append(('silent', attempt))
 
--- a/hillfield/platform/tests/test_unread.py
+++ b/hillfield/proxy/tests/test_unread.py
@@ -5,13 +5,15 @@
 from tornado.httputil import HTTPHeaders
 
 from hillfield.events import EventCode, ListJournal
-from hillfield.platform.unread import NAMES_TOLD, OTHERS, UnreadHeaders
+from hillfield.proxy.unread import NAMES_TOLD, OTHERS, UnreadHeaders
+
+KNOWN = frozenset(('X-Server-Signature',))
 
 
 def test_a_word_that_nobody_reads_is_told_once_and_counted():
     journal = ListJournal()
     counts: Counter[str] = Counter()
-    unread = UnreadHeaders(journal, lambda name: counts.update((name,)))
+    unread = UnreadHeaders(KNOWN, journal, lambda name: counts.update((name,)))
     answer = HTTPHeaders({'X-Server-Signature': 'x', 'x-target-mood': 'low'})
     unread.note(answer)
     unread.note(answer)
@@ -25,7 +27,7 @@
 def test_names_are_bounded_where_a_target_invents_them():
     journal = ListJournal()
     counts: Counter[str] = Counter()
-    unread = UnreadHeaders(journal, lambda name: counts.update((name,)))
+    unread = UnreadHeaders(KNOWN, journal, lambda name: counts.update((name,)))
     for number in range(10 * NAMES_TOLD):
         unread.note(HTTPHeaders({f'X-Own-{number}': '1'}))
     assert len(journal.occurrences) == NAMES_TOLD
--- a/hillfield/platform/unread.py
+++ b/hillfield/proxy/unread.py
@@ -1,4 +1,4 @@
-"""Headers of targets' answers that the platform's adapter has no word for."""
+"""Headers of targets' answers that there is no word for."""
 
 from collections.abc import Callable
 from typing import Final
@@ -10,8 +10,8 @@
 # Names that are told apart: each is a series of the metrics and a log line.
 NAMES_TOLD: Final = 16
 OTHERS: Final = 'others'
-# Names are in the case to which tornado normalises them.
-KNOWN: Final = frozenset(
+# Those of the field's standards, in the case to which tornado normalises them.
+STANDARD: Final = frozenset(
     (
         'Age',
         'Cache-Control',
@@ -32,11 +32,7 @@
         'Transfer-Encoding',
         'Vary',
         'Via',
-        'X-Instance-Id',
-        'X-Not-Executed',
         'X-Request-Id',
-        'X-Server-Load',
-        'X-Server-Signature',
     ),
 )
 
@@ -50,10 +46,12 @@
 
     def __init__(
         self,
+        known: frozenset[str],
         journal: Journal,
         counter: Callable[[str], None],
     ) -> None:
         """Start without any; `counter` is told a name at each answer."""
+        self._known = STANDARD | known
         self._journal = journal
         self._counter = counter
         self._told: set[str] = set()
@@ -61,7 +59,7 @@
     def note(self, headers: HTTPHeaders) -> None:
         """Look at the headers of an answer."""
         for name in headers.keys():
-            if name not in KNOWN:
+            if name not in self._known:
                 self._count(name)
 
     def _count(self, name: str) -> None:
--- a/hillfield/routing/notes.py
+++ b/hillfield/routing/notes.py
@@ -1,5 +1,6 @@
 """What a dispatcher is told of attempts under way."""
 
+from hillfield.model import TargetNotice
 from hillfield.routing.phases import AttemptTrigger
 from hillfield.routing.requests import NothingWritten
 from hillfield.routing.service import Service
@@ -27,6 +28,14 @@
             lost = NothingWritten('no sign of life')
             self.board.observe(now, found.target.id, attempt, lost)
 
+    def note_notice(
+        self,
+        now: float,
+        attempt: int,
+        notice: TargetNotice,
+    ) -> None:
+        """Ignore it: the gate of the target obeys what it says."""
+
     def note_head(self, now: float, attempt: int) -> None:
         """Note that the head of the attempt's answer has come."""
         found = self._service.ledger.find(attempt)
--- a/hillfield/routing/ports.py
+++ b/hillfield/routing/ports.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from hillfield.loadreports.reports import LoadReport
-from hillfield.model import RequestPlan
+from hillfield.model import RequestPlan, TargetNotice
 from hillfield.routing.requests import Arrival, Observation, Send, Verdict
 
 
@@ -19,6 +19,14 @@
     def note_head(self, now: float, attempt: int) -> None:
         """Note that the head of the attempt's answer has come."""
 
+    def note_notice(
+        self,
+        now: float,
+        attempt: int,
+        notice: TargetNotice,
+    ) -> None:
+        """Take what a target says of itself in an attempt's answer."""
+
     def adopt_report(self, now: float, report: LoadReport) -> None:
         """Take what an answer tells of its target's room."""
 
