Give a target that says in its answers that it leaves no new work

What targets saw: one that wrote Server-Leaving in all its answers, while its heartbeats still said ready, got its whole share from nodes that had passed the word on 2 s before. Cause: only heartbeats and farewells were read.

Now the word is taken at the gate as a heartbeat's would be: Seating.note_leaving empties the seat, has the registry list the life as draining (so the fleet hears of it as ever) and reads each later heartbeat of that life as draining. One judgement, whichever way it comes. What waits is declined and has not run, what runs is finished; a next life is served, also one under the same name that was born later. What is no 0 or 1 is told (TARGET_NOTICE_UNREAD) and not obeyed.

A gate whose target leaves told nothing of its room, so nodes went by its last report (up to 12 s): they asked in vain. It now tells that it holds all work back and has no room.

--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -7,19 +7,15 @@
 
 from collections.abc import Callable
 
-from hillfield.events import EventCode, Journal
+from hillfield.events import Journal
 from hillfield.gate.admission import admit, serve_queue
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.completion import finish
 from hillfield.gate.endings import is_success
-from hillfield.gate.limit import RateLimit
-from hillfield.gate.notes import GateNotes
-from hillfield.gate.seat import Seat
-from hillfield.gate.standing import Standing
+from hillfield.gate.occupancy import GateSeat
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import judge_running
-from hillfield.model import RequestPlan, TargetState
-from hillfield.routing.loads import Latency
+from hillfield.model import RequestPlan
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.requests import (
     Arrival,
@@ -34,7 +30,7 @@
 GateListener = Callable[[float], None]
 
 
-class Gate(GateNotes):
+class Gate(GateSeat):
     """Implement `Dispatching` and `Dispatchers` for the one target here."""
 
     def __init__(self, journal: Journal) -> None:
@@ -46,39 +42,11 @@
         self.closing = False
         self.listener: GateListener = _tell_nobody
 
-    @property
-    def seat(self) -> Seat | None:
-        """Return the life of the target that is served."""
-        return self._state.seat
-
     @property
     def calls(self) -> FailedCalls:
         """Return where failed requests of this host are noted."""
         return self._state.calls
 
-    def take_seat(self, seat: Seat | None) -> None:
-        """Take the present life of the target; None: it is gone or leaves."""
-        state = self._state
-        if seat is not None and seat.target.state is TargetState.DRAINING:
-            seat = None
-        before = state.seat
-        state.seat = seat
-        if seat is None:
-            if before is not None:
-                state.record(EventCode.GATE_EMPTY, before, 'leaving or gone')
-            return
-        if before is None or before.target.id != seat.target.id:
-            if before is not None:
-                self.on_replaced(before.target.id)
-            state.standing = Standing()
-            state.limit = RateLimit()
-            state.latency = Latency()
-            state.record(
-                EventCode.GATE_SEATED,
-                seat,
-                f'known as {seat.name}',
-            )
-
     def for_service(self, service: str) -> 'Gate':
         """Return this gate: it stands before one target only."""
         return self
--- a/hillfield/gate/hearing.py
+++ b/hillfield/gate/hearing.py
@@ -18,12 +18,14 @@
     seat = state.seat
     if seat is None or seat.target.id != attempt.target.id:
         return
-    if notice.unread is not None:
+    if notice.unread:
         state.record(EventCode.TARGET_NOTICE_UNREAD, seat, notice.unread)
-        return
     before = state.limit.rate
-    if state.limit.hear(now, attempt.started, notice.rate):
+    heard = not notice.vague
+    if heard and state.limit.hear(now, attempt.started, notice.rate):
         _record_limit(state, seat, before)
+    if notice.leaving:
+        state.record(EventCode.TARGET_SAYS_LEAVING, seat, 'in an answer')
 
 
 def _record_limit(state: GateState, seat: Seat, before: float | None) -> None:
--- a/hillfield/gate/notes.py
+++ b/hillfield/gate/notes.py
@@ -19,6 +19,8 @@
 LossListener = Callable[[TargetId], None]
 # Is told what an answer tells of the target's room.
 AnswerListener = Callable[[float, LoadReport], None]
+# Is told that a life of the target says that it leaves.
+LeavingListener = Callable[[float, TargetId], None]
 # Is told the fingerprint of a request that the target answered well.
 ServedListener = Callable[[bytes], None]
 
@@ -33,6 +35,7 @@
         self.on_lost: LossListener = _tell_nobody
         self.on_replaced: LossListener = _tell_nobody
         self.on_served: ServedListener = _tell_none
+        self.on_leaving: LeavingListener = _follow_nothing
         self.on_answer: AnswerListener = _note_nothing
 
     def note_written(self, now: float, attempt: int) -> None:
@@ -58,8 +61,11 @@
     ) -> None:
         """Take what the target says of itself in an attempt's answer."""
         found = self._state.ledger.find(attempt)
-        if found is not None:
-            hear(self._state, now, found, notice)
+        if found is None:
+            return
+        hear(self._state, now, found, notice)
+        if notice.leaving:
+            self.on_leaving(now, found.target.id)
 
     def adopt_report(self, now: float, report: LoadReport) -> None:
         """Ignore it: targets don't tell of their room."""
@@ -114,5 +120,9 @@
     """Tell nobody: no one follows requests."""
 
 
+def _follow_nothing(now: float, target: TargetId) -> None:
+    """Follow nothing: nobody knows of the target's lives."""
+
+
 def _note_nothing(now: float, report: LoadReport) -> None:
     """Note nothing: nobody tells others."""
--- a/hillfield/gate/reporting.py
+++ b/hillfield/gate/reporting.py
@@ -19,7 +19,7 @@
     """Return the report of the target, if there is one."""
     target = state.target
     if target is None:
-        return None
+        return _report_left(state, number)
     waiting = len(state.queue)
     free = 0 if waiting else count_room(state, now, target)
     return LoadReport(
@@ -36,6 +36,22 @@
     )
 
 
+def _report_left(state: GateState, number: int) -> LoadReport | None:
+    """Tell that a life that leaves has no room, until another is here."""
+    if state.farewell is None:
+        return None
+    left = state.farewell.target.id
+    return LoadReport(
+        left.service,
+        left.address.ip,
+        left.address.port,
+        left.incarnation,
+        number,
+        0,
+        held=Held.ALL,
+    )
+
+
 def _find_held(state: GateState, now: float) -> Held:
     if state.standing.shunned:
         wanted = state.standing.wants_trial(now)
--- a/hillfield/gate/seating.py
+++ b/hillfield/gate/seating.py
@@ -15,19 +15,23 @@
 from hillfield.announcements.messages import Refusal
 from hillfield.gate.gate import Gate
 from hillfield.gate.seat import Seat
-from hillfield.model import Target, TargetState
+from hillfield.model import Target, TargetId, TargetState
 
 NAMES_KEPT: Final = 64
 
 
 @dataclass(slots=True)
 class _Named:
-    """Hold a life; `born` is what it says of its start (None: nothing)."""
+    """Hold a life; `born` is what it says of its start (None: nothing).
+
+    `leaving`: it has said that it leaves, whatever its heartbeats say later.
+    """
 
     announcement: Announcement
     incarnation: int
     sequence: int
     born: int | None
+    leaving: bool = False
 
     def is_over(self, announcement: Announcement) -> bool:
         """Tell whether a heartbeat is of a later life of the same name."""
@@ -54,6 +58,7 @@
         self._named: OrderedDict[str, _Named] = OrderedDict()
         self._left: OrderedDict[str, int] = OrderedDict()
         self._newest = 0
+        gate.on_leaving = self.note_leaving
 
     def announce(
         self,
@@ -74,6 +79,8 @@
         elif sequence <= named.sequence:
             return Error(_describe_late(sequence, named))
         named.sequence = sequence
+        if named.leaving:
+            announcement = replace(announcement, state=TargetState.DRAINING)
         named.announcement = replace(
             announcement,
             incarnation=named.incarnation,
@@ -86,6 +93,22 @@
             self.gate.take_seat(Seat(told.ok, name))
         return told
 
+    def note_leaving(self, now: float, target: TargetId) -> None:
+        """Take the word of the life that is served, as a heartbeat's."""
+        seat = self.gate.seat
+        if seat is None or seat.target.id != target:
+            return
+        self._leave_seat(seat.name)
+        named = self._named.get(seat.name)
+        if named is None:
+            return
+        named.leaving = True
+        named.announcement = replace(
+            named.announcement,
+            state=TargetState.DRAINING,
+        )
+        self._registry.announce(now, named.incarnation, named.announcement)
+
     def withdraw(
         self,
         now: float,
@@ -131,7 +154,7 @@
     def _leave_seat(self, name: str) -> None:
         seat = self.gate.seat
         if seat is not None and seat.name == name:
-            self.gate.take_seat(None)
+            self.gate.leave_seat()
 
     def _begin(
         self,
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -28,11 +28,14 @@
 class GateState:
     """Hold the parts that the gate decides with.
 
-    `declined` are verdicts on what made way for others, not yet handed on.
+    `farewell` is the life that has said that it leaves, until another takes
+    the seat; `declined` are verdicts on what made way for others, not yet
+    handed on.
     """
 
     journal: Journal
     seat: Seat | None = None
+    farewell: Seat | None = None
     standing: Standing = field(default_factory=Standing)
     limit: RateLimit = field(default_factory=RateLimit)
     ledger: Ledger = field(default_factory=Ledger)
--- a/hillfield/node/reporting.py
+++ b/hillfield/node/reporting.py
@@ -67,12 +67,13 @@
     def note(self, now: float) -> None:
         """Tell those who are due of what may have changed."""
         report = self._gate.report(now)
-        seat = self._gate.seat
-        if report is None or seat is None:
+        if report is None:
             return
+        seat = self._gate.seat
+        slots = 0 if seat is None else seat.target.slots
         self._take(now, report)
         near = self._find_listeners(now, report)
-        if self._pacer.is_due_near(now, report, seat.target.slots, len(near)):
+        if self._pacer.is_due_near(now, report, slots, len(near)):
             self.socket.send(self._codec.seal(report), near)
         audience = self._follow_audience(now)
         if self._pacer.is_due_far(now, report):
--- a/hillfield/platform/headers.py
+++ b/hillfield/platform/headers.py
@@ -35,6 +35,7 @@
 WORDS: Final = AnswerWords(
     SIGNATURE,
     limit='Server-Limit',
+    leaving='Server-Leaving',
     others=frozenset((NOT_RUN, 'X-Server-Load', 'X-Instance-Id')),
 )
 
--- a/hillfield/proxy/notices.py
+++ b/hillfield/proxy/notices.py
@@ -15,23 +15,26 @@
 DECIMAL: Final = re.compile(r'\d{1,9}(?:\.\d{1,9})?', re.ASCII)
 # Characters that are shown of a word that can't be read.
 SHOWN: Final = 40
+FLAG: Final = re.compile('[01]')
+LEAVES: Final = '1'
 
 
 class AnswerWords(Struct, frozen=True):
     """Name the headers of targets' answers, as tornado normalises them.
 
     `digest`: only the target that made the answer can write it; `limit`: the
-    requests a second that it takes from all nodes together; `others` are read
-    elsewhere, or need not be read.
+    requests a second that it takes from all nodes together; `leaving`: 1 where
+    it takes no new work; `others` are read elsewhere, or need not be read.
     """
 
     digest: str
     limit: str
+    leaving: str
     others: frozenset[str] = frozenset()
 
     def list_names(self) -> frozenset[str]:
         """Return all headers that there is a word for."""
-        return self.others | {self.digest, self.limit}
+        return self.others | {self.digest, self.limit, self.leaving}
 
 
 class NoticingDialect:
@@ -80,19 +83,39 @@
     Of several limits the least counts. One that can't be read says nothing:
     it neither lifts the limit that holds nor makes one.
 
-    >>> words = AnswerWords('Digest', 'Limit')
-    >>> read_notice(HTTPHeaders({'Limit': '2.4'}), words).rate
+    >>> words = AnswerWords('Digest', 'Limit', 'Leaving')
+    >>> read_notice(HTTPHeaders({'Limit': '3, 2.4'}), words).rate
     2.4
-    >>> read_notice(HTTPHeaders({'Limit': '3, 2'}), words).rate
-    2.0
     >>> read_notice(HTTPHeaders({'Limit': '-1'}), words).unread
-    '-1'
-    >>> read_notice(HTTPHeaders(), words).rate
+    "Limit: '-1'"
+    >>> read_notice(HTTPHeaders({'Leaving': '1'}), words).leaving
+    True
     """
-    told = headers.get(words.limit)
-    if told is None:
+    limit = headers.get(words.limit)
+    leaving = headers.get(words.leaving)
+    if limit is None and leaving is None:
         return SAYS_NOTHING
-    parts = [part.strip() for part in told.split(',')]
-    if all(map(DECIMAL.fullmatch, parts)):
-        return TargetNotice(min(map(float, parts)))
-    return TargetNotice(unread=told[:SHOWN])
+    rates = _read_all(DECIMAL, limit)
+    flags = _read_all(FLAG, leaving)
+    unread = (
+        '' if rates else _show(words.limit, limit),
+        '' if flags else _show(words.leaving, leaving),
+    )
+    return TargetNotice(
+        min(map(float, rates), default=None),
+        LEAVES in flags,
+        ', '.join(filter(None, unread)),
+        vague=bool(unread[0]),
+    )
+
+
+def _read_all(form: re.Pattern[str], text: str | None) -> tuple[str, ...]:
+    """Return the members of a list, if all of them have the form."""
+    parts = tuple(map(str.strip, (text or '').split(',')))
+    return parts if all(map(form.fullmatch, parts)) else ()
+
+
+def _show(name: str, text: str | None) -> str:
+    """Return what can't be read of a header; nothing where there is none."""
+    shown = repr(text)[:SHOWN]
+    return '' if text is None else f'{name}: {shown}'
