--- a/hillfield/gate/tests/test_leaving.py
+++ b/hillfield/gate/tests/test_leaving.py
@@ -46,7 +46,8 @@
     gate.note_notice(1.1, sent.attempt, TargetNotice(leaving=True))
     ended = gate.finish(1.1, sent.attempt, Answered(200))
     assert isinstance(ended, Done)
-    assert is_declined(gate.admit(1.2, arrive('b', 1.2)))
+    later = gate.admit(1.2, arrive('b', 1.2))
+    assert is_declined(later)
     listed = seating._registry.targets(1.2)
     assert [target.id for target in listed] == [told.id]
     assert listed[0].state is TargetState.DRAINING
