--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -149,6 +149,14 @@
         host.node = node
         self._beating.append(asyncio.create_task(self._beat(host, node)))
 
+    async def restart_node(self, host):
+        """Kill a host's node and start it again beside the same target."""
+        node = host.node
+        host.node = None
+        await node.abandon()
+        await self.start_node(host)
+        await self.settle(self.is_complete)
+
     async def is_complete(self):
         """Tell whether each node is ready and knows all targets."""
         services = [host.target.service for host in self.hosts if host.node]
--- a/hillfield/proxy/tests/test_notices.py
+++ b/hillfield/proxy/tests/test_notices.py
@@ -40,6 +40,7 @@
     headers.add('X-Limit', '3')
     unread = UnreadHeaders(WORDS.list_names(), ListJournal(), print)
     said = NoticingDialect(WORDS, unread).read_notice(200, headers)
+    assert said is not None
     assert said.rate == 3
 
 
