Tell a gate that starts anew what nodes were told of its target

What targets saw: one that had named a limit of 0.5 a second got 10 requests in 4 s (8 allowed), and one that had said that it leaves got work, after the node beside it had been restarted. Cause: only that node's memory held the word, and the life it was said of has another number at a fresh gate, so nodes that had passed it on could not tell.

A gate believes it only of the very life that it serves, and of a limit only until the target has said anything itself: then one request goes through at once, whose answer tells. No message is added; headers are longer by some 30 bytes only where there is a notice (a row's last field that is None is left out).

Weighed: a slow start of each fresh gate, one request until the first answer, costs every restart 0.2 s of its target; keeping it in the store costs calls and is away when it is needed.

--- a/hillfield/gate/hearing.py
+++ b/hillfield/gate/hearing.py
@@ -4,7 +4,7 @@
 from hillfield.gate.limit import show_rate
 from hillfield.gate.seat import Seat
 from hillfield.gate.state import GateState
-from hillfield.model import TargetNotice
+from hillfield.model import LifeNotice, TargetNotice
 from hillfield.routing.records import AttemptRecord
 
 
@@ -28,6 +28,21 @@
         state.record(EventCode.TARGET_SAYS_LEAVING, seat, 'in an answer')
 
 
+def hear_told(state: GateState, now: float, told: LifeNotice) -> bool:
+    """Take what another node was told of this life; tell if it leaves."""
+    seat = state.seat
+    if seat is None or seat.life != told.life:
+        return False
+    if told.leaving:
+        detail = 'another node was told'
+        state.record(EventCode.TARGET_SAYS_LEAVING, seat, detail)
+        return True
+    before = state.limit.rate
+    if told.rate is not None and state.limit.adopt_told(now, told.rate):
+        _record_limit(state, seat, before)
+    return False
+
+
 def _record_limit(state: GateState, seat: Seat, before: float | None) -> None:
     was = '' if before is None else f'before: {show_rate(before)}'
     rate = state.limit.rate
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -5,12 +5,20 @@
 
 from expression import Error, Ok, Result
 from msgspec import MsgspecError, Struct
-from msgspec.json import Decoder, Encoder
+from msgspec.json import Decoder
 from tornado.httputil import HTTPHeaders
 
 from hillfield.events import EventCode
 from hillfield.loadreports import ROOM, LoadReport, read_room
-from hillfield.model import Outcome, RequestPlan, Step, TargetId, Urgency
+from hillfield.model import (
+    LifeNotice,
+    Outcome,
+    RequestPlan,
+    Step,
+    TargetId,
+    Urgency,
+    encode_row,
+)
 from hillfield.proxy.dialects import (
     DEADLINE,
     NOT_RUN,
@@ -50,7 +58,8 @@
     target; `urgency`: which targets it takes. `route` and `aim`, the seconds
     in which an answer is worth most, tell how long it should take; `spent`
     are the seconds since it was first sent, `account` is whose request it is
-    (empty: nobody's).
+    (empty: nobody's), `told` what the sender was told of the target at this
+    address (None: nothing).
     """
 
     service: str
@@ -64,9 +73,9 @@
     aim: float = 0
     spent: float = 0
     account: str = ''
+    told: LifeNotice | None = None
 
 
-_ENCODER: Final = Encoder()
 _DECODER: Final = Decoder(HopOrder)
 
 
@@ -78,7 +87,7 @@
     >>> read_hop(write_hop(HopOrder('leit', 7, 1, 'skrá'))).ok.origin
     'skrá'
     """
-    return _ENCODER.encode(order).decode(WIRE)
+    return encode_row(order).encode().decode(WIRE)
 
 
 def read_hop(text: str) -> Result[HopOrder, str]:
@@ -119,6 +128,7 @@
             plan.aim,
             send.spent,
             plan.account,
+            send.told,
         )
         fields.add(HOP, write_hop(order))
 
--- a/hillfield/gate/limit.py
+++ b/hillfield/gate/limit.py
@@ -58,8 +58,23 @@
         if self.rate is None:
             self._bucket.tokens = 0
         self._pass_time(now)
-        self.rate = rate
-        self._bucket.bound(max(1, SAVED_SECONDS * self._find_pace()))
+        self._adopt(rate)
+        return True
+
+    def adopt_told(self, now: float, rate: float) -> bool:
+        """Take what another node was told; tell whether it limits more.
+
+        That may be old, so it counts only until the target has said anything
+        itself: one request is let through at once, to hear that.
+        """
+        if self._heard > float('-inf') or _allows_more(rate, self.rate):
+            return False
+        if rate == self.rate:
+            return False
+        if self.rate is None:
+            self._bucket.tokens = 1
+        self._pass_time(now)
+        self._adopt(max(0, rate))
         return True
 
     def has_turn(self, now: float) -> bool:
@@ -92,6 +107,10 @@
         missing = ahead + 1 - self._bucket.tokens
         return max(0, missing / self._find_pace())
 
+    def _adopt(self, rate: float | None) -> None:
+        self.rate = rate
+        self._bucket.bound(max(1, SAVED_SECONDS * self._find_pace()))
+
     def _pass_time(self, now: float) -> None:
         if self.rate is not None:
             passed = max(0, now - self._filled)
--- a/hillfield/gate/occupancy.py
+++ b/hillfield/gate/occupancy.py
@@ -1,11 +1,12 @@
 """Which life of its target a gate serves."""
 
 from hillfield.events import EventCode
+from hillfield.gate.hearing import hear_told
 from hillfield.gate.limit import RateLimit
 from hillfield.gate.notes import GateNotes
 from hillfield.gate.seat import Seat
 from hillfield.gate.standing import Standing
-from hillfield.model import TargetState
+from hillfield.model import LifeNotice, TargetState
 from hillfield.routing.loads import Latency
 
 
@@ -42,6 +43,12 @@
                 f'known as {seat.name}',
             )
 
+    def adopt_told(self, now: float, told: LifeNotice) -> None:
+        """Take what the sender of a request was told of the target."""
+        seat = self._state.seat
+        if seat is not None and hear_told(self._state, now, told):
+            self.on_leaving(now, seat.target.id)
+
     def leave_seat(self) -> None:
         """Give the target no new work: it has said that it leaves."""
         seat = self._state.seat
--- a/hillfield/gate/plans.py
+++ b/hillfield/gate/plans.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok, Result
 from msgspec import Struct
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode
 from hillfield.gate.gate import Gate
 from hillfield.gate.hop import HopOrder, read_hop
@@ -43,6 +44,8 @@
         if read.is_error():
             return Error(_refuse(MALFORMED, f'Hillfield-Hop: {read.error}'))
         order = read.ok
+        if order.told is not None:
+            self.gate.adopt_told(monotonic(), order.told)
         seat = self.gate.seat
         if seat is None or self.gate.closing:
             return Error(_refuse(UNAVAILABLE, 'no target is served here'))
--- a/hillfield/gate/reporting.py
+++ b/hillfield/gate/reporting.py
@@ -33,6 +33,7 @@
         _find_held(state, now),
         0 if free else round(find_wait(state, now, target), WAIT_DIGITS),
         count_usable(state, target),
+        state.find_notice(),
     )
 
 
@@ -49,6 +50,7 @@
         number,
         0,
         held=Held.ALL,
+        notice=state.find_notice(),
     )
 
 
--- a/hillfield/gate/seating.py
+++ b/hillfield/gate/seating.py
@@ -90,7 +90,7 @@
             self._leave_seat(name)
         told = self._registry.announce(now, wall, named.announcement)
         if told.is_ok():
-            self.gate.take_seat(Seat(told.ok, name))
+            self.gate.take_seat(Seat(told.ok, name, named.born))
         return told
 
     def note_leaving(self, now: float, target: TargetId) -> None:
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -12,7 +12,7 @@
 from hillfield.gate.seat import Seat
 from hillfield.gate.shares import AccountShares, is_foreign
 from hillfield.gate.standing import Ending, Standing
-from hillfield.model import Target, TargetState
+from hillfield.model import LifeNotice, Target, TargetState
 from hillfield.routing.durations import Durations
 from hillfield.routing.loads import Latency
 from hillfield.routing.records import AttemptRecord, Ledger, RequestRecord
@@ -67,6 +67,14 @@
             for attempt in self.ledger.attempts.values()
         )
 
+    def find_notice(self) -> LifeNotice | None:
+        """Return what is to be told of what the target says of itself."""
+        if self.seat is not None:
+            rate = self.limit.rate
+            return None if rate is None else LifeNotice(self.seat.life, rate)
+        left = self.farewell
+        return None if left is None else LifeNotice(left.life, leaving=True)
+
     def judge(
         self,
         now: float,
--- a/hillfield/gate/tests/test_limit.py
+++ b/hillfield/gate/tests/test_limit.py
@@ -8,8 +8,10 @@
 from hillfield.gate import Gate, Seat
 from hillfield.gate.limit import LEAST_RATE, SAVED_SECONDS, RateLimit
 from hillfield.gate.waiting import LONGEST_WAIT
+from hillfield.loadreports import read_room, write_room
 from hillfield.model import (
     Address,
+    LifeNotice,
     Locality,
     Outcome,
     RequestPlan,
@@ -211,3 +213,49 @@
     fleet.asked = 0
     fleet.play(3)
     assert fleet.gate.report(fleet.now).free == 1
+
+
+def open_gate(born=None):
+    gate = Gate(ListJournal())
+    gate.take_seat(Seat(TARGET, 'i-1', born))
+    return gate
+
+
+def test_a_fresh_gate_takes_the_word_of_a_node_that_was_told():
+    gate = open_gate()
+    gate.adopt_told(0, LifeNotice('i-1', 0.5))
+    verdicts = [gate.admit(0, arrive(name, 0)) for name in 'abc']
+    sent = [verdict for verdict in verdicts if isinstance(verdict, Send)]
+    assert sent == verdicts[:1]
+
+
+def test_the_target_itself_goes_before_what_another_node_was_told():
+    gate = open_gate()
+    gate.adopt_told(0, LifeNotice('i-1', 0.5))
+    sent = gate.admit(0, arrive('a', 0))
+    gate.note_notice(0.2, sent.attempt, TargetNotice())
+    gate.finish(0.2, sent.attempt, Answered(200))
+    gate.adopt_told(0.3, LifeNotice('i-1', 0.5))
+    verdicts = [gate.admit(0.3, arrive(name, 0.3)) for name in 'bcd']
+    assert all(isinstance(verdict, Send) for verdict in verdicts)
+
+
+def test_what_was_told_of_another_life_binds_nobody():
+    gate = open_gate(born=5)
+    gate.adopt_told(0, LifeNotice('i-1/4', 0.5))
+    gate.adopt_told(0, LifeNotice('i-0/5', leaving=True))
+    verdicts = [gate.admit(0, arrive(name, 0)) for name in 'abcd']
+    assert all(isinstance(verdict, Send) for verdict in verdicts)
+
+
+def test_reports_tell_the_limit_until_it_ends():
+    gate = open_gate()
+    sent = gate.admit(0, arrive('a', 0))
+    gate.note_notice(0.1, sent.attempt, TargetNotice(2.5))
+    gate.finish(0.1, sent.attempt, Answered(200))
+    report = gate.report(0.1)
+    assert report.notice == LifeNotice('i-1', 2.5)
+    assert read_room(IDENTITY, write_room(report)) == report
+    later = gate.admit(1, arrive('b', 1))
+    gate.note_notice(1.2, later.attempt, TargetNotice())
+    assert gate.report(1.2).notice is None
--- a/hillfield/loadreports/fields.py
+++ b/hillfield/loadreports/fields.py
@@ -8,10 +8,10 @@
 from typing import Final
 
 from msgspec import MsgspecError, Struct
-from msgspec.json import Decoder, Encoder
+from msgspec.json import Decoder
 
 from hillfield.loadreports.reports import Held, LoadReport
-from hillfield.model import TargetId
+from hillfield.model import LifeNotice, TargetId, encode_row
 
 ROOM: Final = 'Hillfield-Room'
 
@@ -26,9 +26,9 @@
     held: Held
     wait: float = 0
     usable: int = 0
+    notice: LifeNotice | None = None
 
 
-_ENCODER: Final = Encoder()
 _DECODER: Final = Decoder(_RoomField)
 
 
@@ -46,8 +46,9 @@
         report.held,
         report.wait,
         report.usable,
+        report.notice,
     )
-    return _ENCODER.encode(told).decode()
+    return encode_row(told)
 
 
 def read_room(target: TargetId, text: str) -> LoadReport | None:
@@ -81,4 +82,5 @@
         told.held,
         told.wait,
         told.usable,
+        told.notice,
     )
--- a/hillfield/loadreports/reports.py
+++ b/hillfield/loadreports/reports.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from hillfield.loadreports.sealing import SealedCodec
-from hillfield.model import Address, TargetId
+from hillfield.model import Address, LifeNotice, TargetId
 
 
 class Held(IntEnum):
@@ -27,7 +27,7 @@
     `waiting` how many requests wait at its gate, `held` what work the gate
     holds back, `wait` the seconds until one more usual request would begin (0
     where a slot is free), `usable` the slots that do useful work now (0: not
-    told).
+    told), `notice` what the target says of itself (None: nothing).
     """
 
     service: str
@@ -40,6 +40,7 @@
     held: Held = Held.NOTHING
     wait: float = 0
     usable: int = 0
+    notice: LifeNotice | None = None
 
     @property
     def target(self) -> TargetId:
--- a/hillfield/model/__init__.py
+++ b/hillfield/model/__init__.py
@@ -1,7 +1,11 @@
 """Immutable values that all parts of hillfield share."""
 
 from hillfield.model.addresses import Address, parse_address
-from hillfield.model.notices import SAYS_NOTHING, TargetNotice
+from hillfield.model.notices import (
+    SAYS_NOTHING,
+    LifeNotice,
+    TargetNotice,
+)
 from hillfield.model.outcomes import Outcome, RequestFailure, Step
 from hillfield.model.plans import (
     AnswerChecks,
@@ -9,12 +13,13 @@
     ServicePolicy,
     Urgency,
 )
-from hillfield.model.structs import is_struct
+from hillfield.model.structs import encode_row, is_struct
 from hillfield.model.targets import Locality, Target, TargetId, TargetState
 
 __all__ = (
     'Address',
     'AnswerChecks',
+    'LifeNotice',
     'Locality',
     'Outcome',
     'RequestFailure',
@@ -27,6 +32,7 @@
     'TargetNotice',
     'TargetState',
     'Urgency',
+    'encode_row',
     'is_struct',
     'parse_address',
 )
--- a/hillfield/model/notices.py
+++ b/hillfield/model/notices.py
@@ -20,4 +20,16 @@
     vague: bool = False
 
 
+class LifeNotice(Struct, frozen=True, array_like=True):
+    """Hold what nodes tell each other of what a life of a target says.
+
+    `life` names it as the target does, whichever node stands before it, `rate`
+    and `leaving` are those of its answers.
+    """
+
+    life: str
+    rate: float | None = None
+    leaving: bool = False
+
+
 SAYS_NOTHING: Final = TargetNotice()
--- a/hillfield/model/structs.py
+++ b/hillfield/model/structs.py
@@ -1,8 +1,12 @@
 """What can be told of a type."""
 
-from typing import TypeGuard
+from typing import Final, TypeGuard
 
 from msgspec import Struct
+from msgspec.json import Encoder
+
+_ENCODER: Final = Encoder()
+_UNTOLD: Final = ',null]'
 
 
 def is_struct(kind: object) -> TypeGuard[type[Struct]]:
@@ -14,3 +18,19 @@
     (True, False, False)
     """
     return isinstance(kind, type) and issubclass(kind, Struct)
+
+
+def encode_row(row: Struct) -> str:
+    """Return a data class as a JSON array, less a last field that is None.
+
+    >>> class Pair(Struct, array_like=True):
+    ...     left: int
+    ...     right: int | None = None
+    >>> encode_row(Pair(1)), encode_row(Pair(1, 2))
+    ('[1]', '[1,2]')
+    """
+    coded = _ENCODER.encode(row).decode()
+    if coded.endswith(_UNTOLD):
+        shorter = coded.removesuffix(_UNTOLD)
+        return f'{shorter}]'
+    return coded
--- a/hillfield/routing/requests.py
+++ b/hillfield/routing/requests.py
@@ -9,6 +9,7 @@
 
 from hillfield.model import (
     Address,
+    LifeNotice,
     RequestFailure,
     RequestPlan,
     TargetId,
@@ -37,7 +38,8 @@
 
     `trial` says that it could be sent once more elsewhere if this attempt
     fails, `urgency` which targets it takes, `spent` the seconds since the
-    request was first sent.
+    request was first sent, `told` what this node was told of the target at
+    this address.
     """
 
     request: str
@@ -47,6 +49,7 @@
     trial: bool = False
     urgency: Urgency = Urgency.CHOOSY
     spent: float = 0
+    told: LifeNotice | None = None
 
 
 class Wait(Struct, frozen=True):
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -22,6 +22,7 @@
 from hillfield.routing.queues import FairQueue
 from hillfield.routing.records import Ledger, RequestRecord
 from hillfield.routing.reluctance import Reluctance
+from hillfield.routing.remembering import Notices
 from hillfield.routing.requests import Refuse, Send
 from hillfield.routing.rooms import Rooms
 from hillfield.routing.selection import Selector
@@ -67,6 +68,7 @@
     reluctance: Reluctance = field(default_factory=Reluctance)
     durations: Durations = field(default_factory=Durations)
     rooms: Rooms = field(default_factory=Rooms)
+    notices: Notices = field(default_factory=Notices)
     scanned: float = 0
     barren_since: float | None = None
 
@@ -131,6 +133,7 @@
             trial=self._may_follow(record, record.sent),
             urgency=find_urgency(now, record, settles),
             spent=round(record.find_spent(now), MILLISECOND_DIGITS),
+            told=self.notices.find(now, target.id.address),
         )
 
     def forget(self, request: str) -> None:
--- a/hillfield/routing/telling.py
+++ b/hillfield/routing/telling.py
@@ -55,6 +55,8 @@
 def tell_room(service: Service, now: float, report: LoadReport) -> None:
     """Tell what is kept of a target what its gate tells of its room."""
     service.rooms.note(now, report)
+    if report.notice is not None:
+        service.notices.note(now, report.target.address, report.notice)
     load = service.selector.loads.get(report.target)
     if load is not None and report.free > 0:
         service.selector.pauses.cancel(load)
