Count no turn as free at a limited target when a request there ends

What callers saw: with half of a service's targets limited, more requests were sent to gates without a turn and declined than needed. Cause: a node that has a request's answer adds a free slot to what it knows of the target's room; where the target names a limit, an end brings no turn back. And the wait for a full target was reckoned by its slots alone.

Now the room of a target with a limit is only what its gate has told, and the wait for it is at least the told one.

--- a/hillfield/experiments/calling/courses.py
+++ b/hillfield/experiments/calling/courses.py
@@ -196,6 +196,8 @@
             return
         self._host.hops[self._key] = self
         now = self._clock.now
+        if self.send.told is not None:
+            self._host.gate.adopt_told(now, self.send.told)
         arrival = Arrival(self._key, self._plan(), self._course.expires, True)
         self.obey(self._host.gate.admit(now, arrival))
         if self._host.gate.next_due() is not None:
@@ -242,7 +244,11 @@
             return
         self._gone = True
         self._host.hops.pop(self._key, None)
-        self._host.gate.finish(self._clock.now, work.attempt, observation)
+        now = self._clock.now
+        if isinstance(observation, Answered):
+            said = self._host.target.find_notice()
+            self._host.gate.note_notice(now, work.attempt, said)
+        self._host.gate.finish(now, work.attempt, observation)
         self._host.poll_gate()
 
     def _answer(self, observation: Observation, size: int) -> None:
--- a/hillfield/experiments/calling/deployment.py
+++ b/hillfield/experiments/calling/deployment.py
@@ -76,6 +76,19 @@
     end: float = 0
 
 
+class Need(Struct, frozen=True):
+    """Say how many targets of a service name a limit between two moments.
+
+    `rate` is the requests a second that each of them takes.
+    """
+
+    service: str
+    targets: int
+    rate: float
+    begin: float
+    end: float
+
+
 class Deployment(Struct, frozen=True):
     """Hold services, kinds of requests, and how targets behave.
 
@@ -87,6 +100,7 @@
     slots: int
     spells: Spells
     burst: Burst = Burst()
+    need: Need | None = None
 
 
 def read_deployment(name: str) -> Deployment:
--- a/hillfield/experiments/calling/hosts.py
+++ b/hillfield/experiments/calling/hosts.py
@@ -16,7 +16,12 @@
 from hillfield.gate import Gate, Seat
 from hillfield.hostroutes.allowances import make_policy
 from hillfield.loadreports import LoadReport, ReportPacer
-from hillfield.model import Address, Locality, Target, TargetId
+from hillfield.model import (
+    Address,
+    Locality,
+    Target,
+    TargetId,
+)
 from hillfield.routing import Dispatcher, DispatcherTable
 
 REPEAT_RATIO: Final = 0.2
--- a/hillfield/experiments/calling/play.py
+++ b/hillfield/experiments/calling/play.py
@@ -29,6 +29,8 @@
 
     `crossing` is bytes between failure domains, `repeats` the most that a
     service got within 10 s, `declined` how often a gate did not take one,
+    `waits` the seconds until each good answer, `needing` the moments at which
+    each target got its requests that names a limit,
     `earned` and `owed` the worth of all.
     """
 
@@ -36,6 +38,8 @@
     crossing: Counter[str] = field(default_factory=Counter)
     repeats: Counter[str] = field(default_factory=Counter)
     declined: int = 0
+    waits: list[float] = field(default_factory=list)
+    needing: list[tuple[float, ...]] = field(default_factory=list)
     earned: float = 0
     owed: float = 0
 
@@ -74,6 +78,11 @@
         self._clock.run(seconds)
         self._count_repeats()
         self._outcome.declined = self._network.declined
+        self._outcome.needing.extend(
+            tuple(arrival[0] for arrival in host.arrivals)
+            for host in self._network.hosts.values()
+            if host.target.need is not None
+        )
         return self._outcome
 
     def _build(self) -> None:
@@ -98,6 +107,19 @@
             )
         for host in self._network.hosts.values():
             host.join(tuple(targets))
+        self._put_in_need()
+
+    def _put_in_need(self) -> None:
+        need = self._deployment.need
+        if need is None:
+            return
+        serving = [
+            host
+            for host in self._network.hosts.values()
+            if host.service == need.service
+        ]
+        for host in self._random.sample(serving, need.targets):
+            host.target.need = need
 
     def _await_next(self, kind: Kind, until: float) -> None:
         burst = self._deployment.burst
@@ -128,6 +150,8 @@
 
     def _note_end(self, kind: Kind, begun: float, how: str) -> None:
         outcome = self._outcome
+        if how == 'ok':
+            outcome.waits.append(self._clock.now - begun)
         if how == 'ok' and self._clock.now - begun > kind.aim:
             how = 'late'
         outcome.counts[kind.route][how] += 1
--- a/hillfield/experiments/calling/targets.py
+++ b/hillfield/experiments/calling/targets.py
@@ -6,7 +6,8 @@
 from random import Random
 
 from hillfield.experiments.calling.clock import Clock
-from hillfield.experiments.calling.deployment import Kind, Spells
+from hillfield.experiments.calling.deployment import Kind, Need, Spells
+from hillfield.model import SAYS_NOTHING, TargetNotice
 
 OK = 200
 ERROR = 500
@@ -63,6 +64,7 @@
         call: Caller,
     ) -> None:
         """Draw the phase of its stretches."""
+        self.need: Need | None = None
         self._clock = clock
         self._spells = spells
         self._random = random
@@ -70,6 +72,13 @@
         self._phase = random.random() * spells.stretch
         self._sick: dict[int, bool] = {}
 
+    def find_notice(self) -> TargetNotice:
+        """Return what it says of itself now."""
+        need = self.need
+        if need is None or not need.begin <= self._clock.now < need.end:
+            return SAYS_NOTHING
+        return TargetNotice(need.rate)
+
     def is_sick(self) -> bool:
         """Tell whether most requests hang now."""
         moment = self._clock.now + self._phase
--- a/hillfield/experiments/overload/catalogue.py
+++ b/hillfield/experiments/overload/catalogue.py
@@ -2,6 +2,7 @@
 
 from hillfield.experiments import decisions
 from hillfield.experiments.calling import measure as calling
+from hillfield.experiments.calling import needs
 from hillfield.experiments.overload import (
     amplification,
     choice,
@@ -27,6 +28,11 @@
         'What callers get of services that call each other, in modelled time.',
         calling.measure,
     )
+    registry.register(
+        'limits',
+        'What callers get while targets name how many requests they take.',
+        needs.measure,
+    )
     registry.register(
         'retries',
         'Requests that real nodes send when a whole service fails.',
--- a/hillfield/routing/placing.py
+++ b/hillfield/routing/placing.py
@@ -7,6 +7,7 @@
 
 from hillfield.model import Target, TargetId
 from hillfield.routing.records import RequestRecord
+from hillfield.routing.rooms import Room
 from hillfield.routing.service import Service
 
 
@@ -126,11 +127,16 @@
     for target, load in service.selector.loads.items():
         room = service.rooms.find(target)
         if load.near is near and room is not None and not room.held:
-            turns = (room.waiting + 1) / load.target.slots
-            waits.append(turns * mean)
+            waits.append(_find_turn(load.target, room, mean))
     return min(waits, default=None)
 
 
+def _find_turn(target: Target, room: Room, mean: float) -> float:
+    """Return the seconds until one more finds a slot, and its turn."""
+    slot = (room.waiting + 1) * mean / target.slots
+    return slot if room.rate is None else max(slot, room.wait)
+
+
 def place_waiting(
     service: Service,
     now: float,
--- a/hillfield/routing/rooms.py
+++ b/hillfield/routing/rooms.py
@@ -16,7 +16,8 @@
 
     `sent` counts what this node has sent there since and not seen end, `wait`
     is the seconds until one more usual request would begin there, `usable` the
-    slots that do useful work (0: not told).
+    slots that do useful work (0: not told), `rate` the requests a second that
+    the target takes (None: it names no limit).
     """
 
     number: int
@@ -26,6 +27,7 @@
     told: float
     wait: float = 0
     usable: int = 0
+    rate: float | None = None
     sent: int = 0
 
 
@@ -59,6 +61,7 @@
             now,
             report.wait,
             report.usable,
+            None if report.notice is None else report.notice.rate,
         )
 
     def take(self, target: TargetId) -> None:
@@ -76,12 +79,15 @@
         """Count the end of a request that this node has sent there.
 
         Reports are rarer than requests where many nodes listen: without it a
-        target counts as full after as many requests as it has slots.
+        target counts as full after as many requests as it has slots. Where the
+        target names a limit, an end brings no turn back.
         """
         room = self._rooms.get(target)
         if room is None or not room.sent:
             return
         room.sent -= 1
+        if room.rate is not None:
+            return
         if room.waiting > 0:
             room.waiting -= 1
         else:
