Refuse at once what targets in need take too late

What callers saw, in the model, with all 15 targets of a service limited to half of what was asked: those that got nothing were told so after 2.8 s on the average, lookups after 3.8 s, with a Retry-After of 1 s for nearly all, so that they returned together; each request was declined 2.4 times.

Cause: a request that gates decline waits at its caller's node for a slot as in a crowd, which is over soon. That the targets together take less than is asked was not known there.

Now it is (scarcity.py): where every target in use names a limit or is held back and has no turn left, what can't begin before its answer would come later than it is worth most is refused, as it arrives, when declined and while it waits. The answer names the time told by the gate that takes one next, spread over as much again, so that those refused together return apart. One target with a turn, or without a limit, and nothing changes.

Run: routing and calling, all green.

--- a/hillfield/routing/admission.py
+++ b/hillfield/routing/admission.py
@@ -24,6 +24,7 @@
     refuse,
 )
 from hillfield.routing.requests import Arrival, Refuse, Verdict, Wait
+from hillfield.routing.scarcity import find_scarcity
 from hillfield.routing.service import Service
 
 SCAN_INTERVAL: Final = 0.01
@@ -39,7 +40,7 @@
     service.counters.admitted += 1
     record = service.ledger.open(arrival)
     record.began = now
-    cause = _find_cause(service, now, arrival)
+    cause = _find_cause(service, now, record)
     if cause is not None:
         return refuse(service, record, cause)
     target = None
@@ -88,8 +89,9 @@
 def _find_cause(
     service: Service,
     now: float,
-    arrival: Arrival,
+    record: RequestRecord,
 ) -> Cause | None:
+    arrival = record.arrival
     if arrival.expires <= now:
         return describe_expiry()
     if not service.may_find_target(now):
@@ -107,7 +109,7 @@
             delay,
             TOO_MANY,
         )
-    return None
+    return find_scarcity(service, now, record)
 
 
 def _enqueue(service: Service, now: float, record: RequestRecord) -> Verdict:
@@ -139,6 +141,8 @@
     now: float,
     record: RequestRecord,
 ) -> bool:
+    if find_scarcity(service, now, record) is not None:
+        return True
     late = _is_late(service, now, record)
     return late or is_stale(service, now, record)
 
@@ -148,8 +152,11 @@
     now: float,
     record: RequestRecord,
 ) -> Refuse:
-    wait = service.expect_wait(now, service.waiting() + 1)
-    return refuse(service, record, replace(describe_expiry(), retry_after=wait))
+    cause = find_scarcity(service, now, record)
+    if cause is None:
+        wait = service.expect_wait(now, service.waiting() + 1)
+        cause = replace(describe_expiry(), retry_after=wait)
+    return refuse(service, record, cause)
 
 
 def _is_late(service: Service, start: float, record: RequestRecord) -> bool:
--- a/hillfield/routing/recovery.py
+++ b/hillfield/routing/recovery.py
@@ -31,6 +31,7 @@
     Wait,
 )
 from hillfield.routing.reselection import choose_again
+from hillfield.routing.scarcity import find_scarcity
 from hillfield.routing.service import Service
 from hillfield.routing.telling import tell_ending
 
@@ -99,6 +100,9 @@
     hindrance = find_hindrance(service, now, record, reading)
     if hindrance:
         return _give_up(service, record, reading, hindrance)
+    scarcity = find_scarcity(service, now, record)
+    if scarcity is not None:
+        return refuse(service, record, scarcity)
     service.counters.retries += 1
     if not _is_patient(record, reading):
         target = choose_again(service, now, record, excluded)
@@ -146,6 +150,9 @@
     now: float,
     record: RequestRecord,
 ) -> Verdict | None:
+    scarcity = find_scarcity(service, now, record)
+    if scarcity is not None:
+        return refuse(service, record, scarcity)
     late = now + service.need(record) >= record.arrival.expires
     if late or is_stale(service, now, record):
         return refuse(service, record, describe_expiry())
--- /dev/null
+++ b/hillfield/routing/scarcity.py
@@ -0,0 +1,70 @@
+"""Whether all targets of a service take no more than they name; pure.
+
+This answers a service whose targets are in need at the same time: together they
+take less than is asked, so what can't begin in time would only wait, and be
+handed from gate to gate, until its answer is worth little.
+"""
+
+from math import modf
+from typing import Final
+
+from hillfield.events import EventCode
+from hillfield.loadreports.reports import Held
+from hillfield.model import Step
+from hillfield.routing.records import RequestRecord
+from hillfield.routing.refusals import Cause
+from hillfield.routing.rooms import Room
+from hillfield.routing.service import Service
+
+# The fractions of its multiples lie as far apart as can be, however many there
+# are (the golden ratio), so that those refused together don't return together.
+SPREADING: Final = 0.618
+
+
+def find_scarcity(
+    service: Service,
+    now: float,
+    record: RequestRecord,
+) -> Cause | None:
+    """Return why a request can't be served in time, if limits are why.
+
+    It can't where no target takes it before its answer would come later than
+    it is worth most; the cause says when the first of them takes one.
+    """
+    plan = record.arrival.plan
+    wait = _find_wait(service) if plan.aim else None
+    if wait is None:
+        return None
+    usual = service.durations.find(plan).find_quantile(0)
+    if record.find_spent(now) + wait + usual <= plan.aim:
+        return None
+    spread, _ = modf(SPREADING * service.counters.refused)
+    return Cause(
+        EventCode.SERVICE_LIMITED,
+        Step.ADMIT,
+        'all targets take no more requests than they name',
+        wait * (1 + spread),
+    )
+
+
+def _find_wait(service: Service) -> float | None:
+    """Return the seconds until a target takes one more, as last told.
+
+    None: one may take it now, or not all name a limit. Those whose gates hold
+    usual work back take none.
+    """
+    loads = service.selector.loads
+    used = (target for target in loads if loads[target].tier is not None)
+    waits: list[float] = []
+    for room in map(service.rooms.find, used):
+        if room is None or not _is_spent(room):
+            return None
+        if room.held < Held.USUAL:
+            waits.append(room.wait)
+    return min(waits, default=None)
+
+
+def _is_spent(room: Room) -> bool:
+    """Tell whether a target's limit, or its gate, leaves no turn now."""
+    bound = room.rate is not None or room.held >= Held.USUAL
+    return bound and room.free <= 0
--- /dev/null
+++ b/hillfield/routing/tests/test_scarcity.py
@@ -0,0 +1,136 @@
+"""Requests to a service whose targets take no more than they name."""
+
+from itertools import starmap
+from operator import sub
+from random import Random
+
+from pytest import fixture
+
+from hillfield.detection.paths import PathBoard
+from hillfield.events import EventCode
+from hillfield.hostroutes.allowances import make_policy
+from hillfield.loadreports import Held, LoadReport
+from hillfield.model import (
+    Address,
+    LifeNotice,
+    Locality,
+    Outcome,
+    RequestPlan,
+    Target,
+    TargetId,
+)
+from hillfield.routing import Dispatcher
+from hillfield.routing.declining import Declined
+from hillfield.routing.requests import Answered, Arrival, Refuse, Send
+
+HERE = Locality('r', 'a', 'h')
+LEAST_GAP = 0.02
+PLAN = RequestPlan('s', 'get', '', True, 4, maximum_attempts=2, aim=0.8)
+TARGETS = tuple(
+    TargetId('s', Address(f'10.0.0.{number}', 80), 1) for number in range(3)
+)
+
+
+class Service:
+    """Play three targets of one failure domain, and what they tell."""
+
+    def __init__(self):
+        policy = make_policy(0.2, 0.7)
+        board = PathBoard(policy, HERE)
+        self.dispatcher = Dispatcher(policy, HERE, board, Random(1))
+        self.dispatcher.adopt_targets(
+            0,
+            tuple(Target(target, HERE, 4, 360) for target in TARGETS),
+        )
+        self.count = 0
+
+    def tell(self, target, free, wait, rate=2.0, held=Held.NOTHING):
+        self.count += 1
+        notice = None if rate is None else LifeNotice('i', rate)
+        self.dispatcher.adopt_report(
+            0,
+            LoadReport(
+                's',
+                target.address.ip,
+                80,
+                1,
+                self.count,
+                free,
+                held=held,
+                wait=wait,
+                notice=notice,
+            ),
+        )
+
+    def ask(self, name='a', now=0):
+        arrival = Arrival(name, PLAN, now + 4, True)
+        return self.dispatcher.admit(now, arrival)
+
+
+@fixture
+def service():
+    made = Service()
+    for target in TARGETS:
+        made.tell(target, 0, 2.0)
+    return made
+
+
+def test_what_no_target_takes_in_time_is_refused_at_once(service):
+    verdict = service.ask()
+    assert isinstance(verdict, Refuse)
+    assert verdict.failure.event == EventCode.SERVICE_LIMITED
+    assert verdict.failure.outcome is Outcome.NOT_RUN
+    returns = verdict.failure.retry_after or 0
+    assert 2 <= returns <= 4
+
+
+def test_those_refused_together_do_not_return_together(service):
+    told = [service.ask(f'r{number}').failure for number in range(20)]
+    returns = sorted(failure.retry_after for failure in told)
+    gaps = starmap(sub, zip(returns[1:], returns))
+    assert min(gaps) > LEAST_GAP
+
+
+def test_one_target_with_a_turn_left_takes_it(service):
+    service.tell(TARGETS[1], 1, 0)
+    verdict = service.ask()
+    assert isinstance(verdict, Send)
+    assert verdict.target == TARGETS[1]
+
+
+def test_one_target_that_names_no_limit_is_waited_for(service):
+    service.tell(TARGETS[1], 0, 2.0, rate=None)
+    assert not isinstance(service.ask(), Refuse)
+
+
+def test_a_turn_that_comes_in_time_is_waited_for(service):
+    service.tell(TARGETS[2], 0, 0.1)
+    assert not isinstance(service.ask(), Refuse)
+
+
+def test_a_target_that_is_held_back_promises_no_turn(service):
+    service.tell(TARGETS[2], 0, 0.1, held=Held.ALL)
+    assert isinstance(service.ask(), Refuse)
+
+
+def test_a_decline_that_tells_of_a_long_wait_is_not_followed_by_others():
+    service = Service()
+    for target in TARGETS:
+        service.tell(target, 1, 0)
+    sent = service.ask()
+    for target in TARGETS:
+        service.tell(target, 0, 2.0)
+    verdict = service.dispatcher.finish(0.01, sent.attempt, Declined('late'))
+    assert isinstance(verdict, Refuse)
+
+
+def test_the_end_of_a_request_brings_no_turn_back():
+    service = Service()
+    for target in TARGETS[1:]:
+        service.tell(target, 0, 2.0)
+    service.tell(TARGETS[0], 1, 0)
+    sent = service.ask()
+    service.dispatcher.note_written(0, sent.attempt)
+    service.dispatcher.finish(0.1, sent.attempt, Answered(200))
+    rooms = service.dispatcher.explain(0.1).rooms
+    assert {room.free for room in rooms} == {0}
