Show operators the limits that targets name, and what was made of them

Which targets of a service are in need, and how much the service takes as a whole, could be read only from the lines of single gates. Now hillfield load counts the targets with a limit and sums what they take, by failure domain; hillfield explain shows it of each target; the gauges hillfield_limited_targets and hillfield_limited_rate give it by service; and a gate tells each 4 s at most what it has sent and declined for the limit (TARGET_LIMIT_KEPT, 3543), however much that is. No decision is changed.

Tests: the two commands, the gauges, and 200 requests a second for 20 s at a limit of 2, of which over 1,000 are declined and three to five lines are told.

--- a/hillfield/cli/explain.py
+++ b/hillfield/cli/explain.py
@@ -22,6 +22,7 @@
     'share',
     'in flight',
     'latency',
+    'takes',
     'evidence',
 )
 
@@ -82,5 +83,6 @@
         f'{report.share:.2f}',
         f'{report.in_flight}/{report.limit}',
         f'{report.latency:.3f}s',
+        'all' if report.rate is None else f'{report.rate:.1f}/s',
         report.evidence or report.symptom,
     ]
--- a/hillfield/cli/load.py
+++ b/hillfield/cli/load.py
@@ -19,6 +19,7 @@
     'free',
     'waiting',
     'held back',
+    'limited',
     'told',
 )
 PATH: Final = '/v1/load'
@@ -73,5 +74,13 @@
         str(load.free),
         str(load.waiting),
         str(load.held),
+        _show_limits(load),
         f'{load.age:.1f}s ago',
     ]
+
+
+def _show_limits(load: DomainLoad) -> str:
+    """Return how many targets name a limit, and what they take together."""
+    if not load.limited:
+        return '0'
+    return f'{load.limited} ({load.rate:.1f}/s)'
--- a/hillfield/cli/tests/test_inquiries.py
+++ b/hillfield/cli/tests/test_inquiries.py
@@ -216,3 +216,19 @@
     with serve({'/v1/load': LoadPage('n1', ())}) as node:
         shown = call('load', '--node', node)
     assert 'no service has been asked for' in shown.output
+
+
+def test_load_shows_what_targets_with_limits_take_together():
+    domain = DomainLoad('a', 2, 8, 1, 3, 1, 0.5, 2, 5.4)
+    load = ServiceLoad('search', 4, 7, 90, 2, 1, 0, 3, (domain,))
+    with serve({'/v1/load': LoadPage('n1', (load,))}) as node:
+        shown = call('load', '--node', node)
+    assert '2 (5.4/s)' in shown.output
+
+
+def test_explain_shows_how_many_requests_a_target_takes():
+    limited = TargetReport(REPORT.target, 'ready', 2, True, 1, '', '', rate=2.4)
+    page = ServicePage('n1', 'search', 0.5, 6, 3, 0, (REPORT, limited))
+    with serve({'/v1/explain/search': page}) as node:
+        shown = call('explain', 'search', '--node', node)
+    assert '2.4/s' in shown.output
--- a/hillfield/control/loadpages.py
+++ b/hillfield/control/loadpages.py
@@ -8,7 +8,9 @@
 
     `told` counts the targets whose gates have told of their room, `slots`,
     `free` and `waiting` are summed over them, `held` counts those that hold
-    usual work back, `age` is the seconds since the oldest of these reports.
+    usual work back, `age` is the seconds since the oldest of these reports,
+    `limited` counts the targets that name a limit, `rate` is the sum of their
+    limits in requests a second.
     """
 
     domain: str
@@ -18,6 +20,8 @@
     waiting: int
     held: int
     age: float
+    limited: int = 0
+    rate: float = 0
 
 
 class ServiceLoad(Struct, frozen=True):
--- a/hillfield/control/pages.py
+++ b/hillfield/control/pages.py
@@ -43,7 +43,8 @@
     """Explain the treatment of one target.
 
     `since` is seconds since the state began, `share` what it receives of a
-    healthy target's work (0: none), `latency` in seconds.
+    healthy target's work (0: none), `latency` in seconds, `rate` the requests
+    a second that the target says it takes (None: it names no limit).
     """
 
     target: str
@@ -57,6 +58,7 @@
     in_flight: int = 0
     limit: int = 0
     latency: float = 0
+    rate: float | None = None
 
 
 class ServicePage(Struct, frozen=True):
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -12,6 +12,7 @@
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.completion import finish
 from hillfield.gate.endings import is_success
+from hillfield.gate.hearing import tell_kept
 from hillfield.gate.occupancy import GateSeat
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import judge_running
@@ -91,6 +92,7 @@
     def poll(self, now: float) -> tuple[Verdict, ...]:
         """Return verdicts for the waiting; call after finish, in ticks."""
         judge_running(self._state, now)
+        tell_kept(self._state, now)
         verdicts = serve_queue(self._state, now)
         self.listener(now)
         return verdicts
--- a/hillfield/gate/hearing.py
+++ b/hillfield/gate/hearing.py
@@ -51,3 +51,10 @@
         return
     told = '; '.join(filter(None, (show_rate(rate), was)))
     state.record(EventCode.TARGET_LIMIT_NAMED, seat, told)
+
+
+def tell_kept(state: GateState, now: float) -> None:
+    """Tell now and then what has become of requests by the limit."""
+    told = state.limit.tell(now)
+    if told and state.seat is not None:
+        state.record(EventCode.TARGET_LIMIT_KEPT, state.seat, told)
--- a/hillfield/gate/limit.py
+++ b/hillfield/gate/limit.py
@@ -16,13 +16,15 @@
 # heard. One each 4 s is within what a limit of 0 leaves (users' rules).
 LEAST_RATE: Final = 0.25
 SHOWN_DIGITS: Final = 3
+# Seconds between two lines of what a limit has done.
+TOLD_EVERY: Final = 4.0
 
 
 class RateLimit:
     """Hold the limit that one life of a target names; times are seconds.
 
     `rate` is None while it names none; `sent` and `declined` count what the
-    limit has let through and turned away since the life began.
+    limit has let through and turned away since that was last told.
 
     >>> limit = RateLimit()
     >>> limit.hear(0, 0, 2.0)
@@ -39,6 +41,7 @@
         self.rate: float | None = None
         self.sent = 0
         self.declined = 0
+        self._told: float = 0
         self._heard = float('-inf')
         self._bucket = Bucket(1, 0)
         self._filled: float = 0
@@ -56,6 +59,7 @@
         if rate == self.rate:
             return False
         if self.rate is None:
+            self._begin_counting(now)
             self._bucket.tokens = 0
         self._pass_time(now)
         self._adopt(rate)
@@ -72,6 +76,7 @@
         if rate == self.rate:
             return False
         if self.rate is None:
+            self._begin_counting(now)
             self._bucket.tokens = 1
         self._pass_time(now)
         self._adopt(max(0, rate))
@@ -107,6 +112,22 @@
         missing = ahead + 1 - self._bucket.tokens
         return max(0, missing / self._find_pace())
 
+    def tell(self, now: float) -> str:
+        """Return what it has done lately; nothing while that is too new."""
+        seconds = now - self._told
+        if self.rate is None or seconds < TOLD_EVERY:
+            return ''
+        counts = f'{self.sent} sent, {self.declined} declined'
+        told = f'{show_rate(self.rate)}: {counts} in {seconds:.1f} s'
+        idle = not (self.sent or self.declined)
+        self._begin_counting(now)
+        return '' if idle else told
+
+    def _begin_counting(self, now: float) -> None:
+        self._told = now
+        self.sent = 0
+        self.declined = 0
+
     def _adopt(self, rate: float | None) -> None:
         self.rate = rate
         self._bucket.bound(max(1, SAVED_SECONDS * self._find_pace()))
--- a/hillfield/gate/tests/test_limit.py
+++ b/hillfield/gate/tests/test_limit.py
@@ -259,3 +259,15 @@
     later = gate.admit(1, arrive('b', 1))
     gate.note_notice(1.2, later.attempt, TargetNotice())
     assert gate.report(1.2).notice is None
+
+
+def test_what_a_limit_does_is_told_now_and_then_however_much_is_declined():
+    fleet = Fleet(4, name_from(0, 2.0), asked=200).play(20)
+    told = [
+        kept.detail
+        for kept in fleet.journal.occurrences
+        if kept.code is EventCode.TARGET_LIMIT_KEPT
+    ]
+    assert 3 <= len(told) <= 5
+    assert '2.0 requests a second' in told[-1]
+    assert len(fleet.declined) > 1000
--- a/hillfield/metrics/__init__.py
+++ b/hillfield/metrics/__init__.py
@@ -2,6 +2,7 @@
 
 from hillfield.metrics.node import NodeMetrics
 from hillfield.metrics.readings import (
+    LimitReading,
     LinkReading,
     NodeReading,
     ReadingSource,
@@ -9,6 +10,7 @@
 )
 
 __all__ = (
+    'LimitReading',
     'LinkReading',
     'NodeMetrics',
     'NodeReading',
--- a/hillfield/metrics/gauges.py
+++ b/hillfield/metrics/gauges.py
@@ -12,6 +12,7 @@
 from prometheus_client.registry import Collector
 
 from hillfield.metrics.readings import (
+    LimitReading,
     LinkReading,
     NodeReading,
     ReadingSource,
@@ -42,6 +43,7 @@
         yield from _make_plain(reading)
         yield _make_targets(reading.targets)
         yield from _make_links(reading.links)
+        yield from _make_limits(reading.limits)
 
     def describe(self) -> list[Metric]:
         """Return nothing: names are checked when they are collected."""
@@ -81,3 +83,21 @@
         queues.add_metric((link.peer,), link.queued)
     yield states
     yield queues
+
+
+def _make_limits(limits: tuple[LimitReading, ...]) -> Iterator[Metric]:
+    targets = GaugeMetricFamily(
+        'hillfield_limited_targets',
+        'Targets that name how many requests a second they take.',
+        labels=('service',),
+    )
+    rates = GaugeMetricFamily(
+        'hillfield_limited_rate',
+        'Requests a second that these take together.',
+        labels=('service',),
+    )
+    for limit in limits:
+        targets.add_metric((limit.service,), limit.targets)
+        rates.add_metric((limit.service,), limit.rate)
+    yield targets
+    yield rates
--- a/hillfield/metrics/readings.py
+++ b/hillfield/metrics/readings.py
@@ -13,6 +13,17 @@
     count: int
 
 
+class LimitReading(Struct, frozen=True):
+    """Count the targets of a service that name limits, as seen here.
+
+    `rate` is the sum of their limits in requests a second.
+    """
+
+    service: str
+    targets: int
+    rate: float
+
+
 class LinkReading(Struct, frozen=True):
     """Tell whether the link to a neighbour works, and its queue in bytes."""
 
@@ -30,6 +41,7 @@
 
     targets: tuple[TargetCount, ...] = ()
     links: tuple[LinkReading, ...] = ()
+    limits: tuple[LimitReading, ...] = ()
     members: int = 0
     configuration_revision: int = 0
     configuration_age: float = 0
--- a/hillfield/metrics/tests/test_node.py
+++ b/hillfield/metrics/tests/test_node.py
@@ -5,6 +5,7 @@
 from prometheus_client import generate_latest
 
 from hillfield.metrics import (
+    LimitReading,
     LinkReading,
     NodeMetrics,
     NodeReading,
@@ -15,6 +16,7 @@
 READING = NodeReading(
     targets=(TargetCount('search', 'ready', 3),),
     links=(LinkReading('n2', is_up=True, queued=7),),
+    limits=(LimitReading('search', 2, 5.4),),
     members=4,
     configuration_revision=12,
     configuration_age=1.5,
@@ -96,3 +98,11 @@
     plain = [line for line in whole if b'process_' not in line]
     assert b''.join(pieces).splitlines() == plain
     assert max(piece.count(b'\n') for piece in pieces) <= 34
+
+
+def test_limits_that_targets_name_are_gauges():
+    metrics = NodeMetrics()
+    metrics.watch(FixedSource())
+    for name, expected in (('limited_targets', 2), ('limited_rate', 5.4)):
+        found = read_sample(metrics, f'hillfield_{name}', service='search')
+        assert found == expected
--- a/hillfield/node/explaining.py
+++ b/hillfield/node/explaining.py
@@ -1,5 +1,7 @@
 """Explanations of a service as operators read them."""
 
+from msgspec.structs import replace
+
 from hillfield.control import ServicePage, TargetReport
 from hillfield.detection.explanations import TargetExplanation
 from hillfield.model import ServicePolicy, Target, TargetState
@@ -19,8 +21,12 @@
     fleet these are some of the service's, chosen by the node.
     """
     loads = {load.target: load for load in routing.loads}
+    rates = {room.target: room.rate for room in routing.rooms}
     reports = tuple(
-        make_report(health, loads.get(str(health.target)), now)
+        replace(
+            make_report(health, loads.get(str(health.target)), now),
+            rate=rates.get(str(health.target)),
+        )
         for health in routing.health
     )
     known = {report.target for report in reports}
--- a/hillfield/node/loadview.py
+++ b/hillfield/node/loadview.py
@@ -51,6 +51,7 @@
 def sum_up(domain: str, rooms: Iterable[RoomExplanation]) -> DomainLoad:
     """Return the sums over the targets of one failure domain."""
     listed = tuple(rooms)
+    rates = [room.rate for room in listed if room.rate is not None]
     return DomainLoad(
         domain,
         len(listed),
@@ -59,4 +60,6 @@
         sum(room.waiting for room in listed),
         sum(room.held in HELD_BACK for room in listed),
         max((room.age for room in listed), default=0),
+        len(rates),
+        sum(rates),
     )
--- a/hillfield/node/reading.py
+++ b/hillfield/node/reading.py
@@ -5,7 +5,12 @@
 from time import time
 
 from hillfield.clocks import monotonic
-from hillfield.metrics import LinkReading, NodeReading, TargetCount
+from hillfield.metrics import (
+    LimitReading,
+    LinkReading,
+    NodeReading,
+    TargetCount,
+)
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts
 from hillfield.routing import RoutingExplanation
@@ -30,6 +35,7 @@
             links=tuple(
                 LinkReading(str(link.address), link.up) for link in core.links
             ),
+            limits=tuple(sum_limits(explained)),
             members=len(core.book.alive),
             configuration_revision=digest.newest,
             configuration_age=time() - self._page.adopted_at,
@@ -54,3 +60,14 @@
         states = Counter(health.state for health in routing.health)
         for state, count in states.items():
             yield TargetCount(routing.service, state, count)
+
+
+def sum_limits(
+    explained: tuple[RoutingExplanation, ...],
+) -> Iterator[LimitReading]:
+    """Sum up the limits that each service's targets name, where any does."""
+    for routing in explained:
+        told = (room.rate for room in routing.rooms)
+        rates = [rate for rate in told if rate is not None]
+        if rates:
+            yield LimitReading(routing.service, len(rates), sum(rates))
--- a/hillfield/routing/roomviews.py
+++ b/hillfield/routing/roomviews.py
@@ -11,7 +11,9 @@
     """Show one target's room; `age` is seconds since its gate told it.
 
     `free` and `waiting` count slots and requests at its gate, `held` names the
-    work that the gate holds back, `in_flight` counts this node's requests.
+    work that the gate holds back, `in_flight` counts this node's requests,
+    `rate` is the requests a second that the target takes (None: it names no
+    limit).
     """
 
     target: str
@@ -22,6 +24,7 @@
     waiting: int
     held: str
     age: float
+    rate: float | None = None
 
 
 def explain_rooms(service: Service, now: float) -> tuple[RoomExplanation, ...]:
@@ -48,4 +51,5 @@
         room.waiting,
         room.held.name.lower(),
         max(0, now - room.told),
+        room.rate,
     )
