Show which words of targets are heard, end to end

Tests only, over real nodes with the stand-in target: callers get both words as they were written; a caller's own request with them changes nothing; an answer that is not passed on (no digest, cut, reset) says nothing of its target; one that is relayed in parts is heard as it begins.

--- a/hillfield/platform/tests/standin_target.py
+++ b/hillfield/platform/tests/standin_target.py
@@ -2,15 +2,21 @@
 
 import asyncio
 from time import monotonic
+from types import MappingProxyType
 from typing import Any
 
 from msgspec import Struct
 from msgspec.json import encode
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
 from tornado.web import Application, RequestHandler
 
 
+# What is sent of a body that is twice as long, by mood.
+PARTS = MappingProxyType({'cut': b'half', 'endless': bytes(100_000)})
+
+
 class Run(Struct, frozen=True):
     """Hold what a target saw of a request that it ran."""
 
@@ -37,7 +43,8 @@
 
     Moods: `well`, `reset` (ends the connection unanswered after the run),
     `error` (500), `hang`, `full` (refuses), `unsigned` (no digest), `stray`
-    (answers the request before once more first), `loose` (no length). It says
+    (answers the request before once more first), `loose` (no length), `cut`
+    (ends amid the body), `endless` (a long body that does not end). It says
     `notice` of itself in all its answers, and notes in `arrivals` the moments
     ids and ports of all requests that reach it.
     """
@@ -144,6 +151,17 @@
         self.set_header('X-Not-Executed', '1')
         self.finish()
 
+    async def _answer_in_part(self, stream, part):
+        head = HTTPHeaders(self.target.notice)
+        head['X-Server-Signature'] = 'sig'
+        head['X-Request-Id'] = self.request.headers['X-Request-Id']
+        head['Content-Length'] = str(2 * len(part))
+        lines = f'HTTP/1.1 200 OK\n{head}\n'.replace('\n', '\r\n')
+        await stream.write(lines.encode() + part)
+        if self.target.mood == 'endless':
+            await asyncio.sleep(3600)
+        stream.close()
+
     def _say(self):
         for name, text in self.target.notice.items():
             self.set_header(name, text)
@@ -175,6 +193,10 @@
                 b'X-Request-Id: %s\r\nContent-Length: 5\r\n\r\nstray'
                 % earlier[0].request.encode(),
             )
+        part = PARTS.get(target.mood)
+        if part is not None:
+            await self._answer_in_part(stream, part)
+            return
         if target.mood == 'loose':
             await stream.write(
                 b'HTTP/1.1 200 OK\r\nX-Server-Signature: sig\r\n'
