--- a/hillfield/platform/tests/test_idle.py
+++ b/hillfield/platform/tests/test_idle.py
@@ -1,4 +1,4 @@
-"""Connections to targets that say how long they keep them."""
+"""What targets say of connections that are idle, and of refusals."""
 
 import asyncio
 
@@ -35,3 +35,15 @@
         assert third != second
 
     play_site(tmp_path, story, ('refunds',), ImpatientTarget)
+
+
+def test_a_target_that_refuses_says_when_to_come_back(tmp_path):
+    async def story(site):
+        host = site.hosts[0]
+        host.target.mood = 'full'
+        host.target.notice = {'Retry-After': '3'}
+        answer = await site.send(host, '/refunds/', 'a')
+        assert answer.code == 503
+        assert float(answer.headers['Retry-After']) >= 3
+
+    play_site(tmp_path, story, ('refunds',))
