Ask a gate again where nothing was told for a second

A gate tells 40 nodes of its failure domain at most; the others hear of its room only by what they ask. With all targets of a service in need, such a node refused each request at once by what it was told last, asked nobody, and so never heard that a turn was free or the need over: that lasted until something else dropped the old reports.

Now a gate is believed for one second that no turn is left; if none has told within it, the request asks.

Evidence: a node that is told nothing more refused 1.5 s later as well, before, and asks now (the test failed before).

--- a/hillfield/routing/scarcity.py
+++ b/hillfield/routing/scarcity.py
@@ -19,6 +19,9 @@
 # The fractions of its multiples lie as far apart as can be, however many there
 # are (the golden ratio), so that those refused together don't return together.
 SPREADING: Final = 0.618
+# Seconds for which a gate is believed that no turn is left: it tells only some of
+# the nodes that use its target, and others hear of a turn only by asking.
+ASKED_AGAIN: Final = 1.0
 
 
 def find_scarcity(
@@ -32,7 +35,7 @@
     it is worth most; the cause says when the first of them takes one.
     """
     plan = record.arrival.plan
-    wait = _find_wait(service) if plan.aim else None
+    wait = _find_wait(service, now) if plan.aim else None
     if wait is None:
         return None
     usual = service.durations.find(plan).find_quantile(0)
@@ -47,11 +50,11 @@
     )
 
 
-def _find_wait(service: Service) -> float | None:
+def _find_wait(service: Service, now: float) -> float | None:
     """Return the seconds until a target takes one more, as last told.
 
-    None: one may take it now, or not all name a limit. Those whose gates hold
-    usual work back take none.
+    None: one may take it now, not all name a limit, or none has told lately.
+    Those whose gates hold usual work back take none.
     """
     loads = service.selector.loads
     used = (target for target in loads if loads[target].tier is not None)
@@ -59,7 +62,7 @@
     for room in map(service.rooms.find, used):
         if room is None or not _is_spent(room):
             return None
-        if room.held < Held.USUAL:
+        if room.held < Held.USUAL and now - room.told <= ASKED_AGAIN:
             waits.append(room.wait)
     return min(waits, default=None)
 
--- a/hillfield/routing/tests/test_scarcity.py
+++ b/hillfield/routing/tests/test_scarcity.py
@@ -134,3 +134,8 @@
     service.dispatcher.finish(0.1, sent.attempt, Answered(200))
     rooms = service.dispatcher.explain(0.1).rooms
     assert {room.free for room in rooms} == {0}
+
+
+def test_a_node_that_is_told_nothing_more_asks_again(service):
+    assert isinstance(service.ask('a', 0.5), Refuse)
+    assert not isinstance(service.ask('b', 1.5), Refuse)
