Take a limit in one place, and code rows once

Read once more, behaviour as it was. RateLimit.hear and adopt_told each began, filled and bounded the bucket by themselves: _adopt does it for both. has_turn was used by a docstring's example only and is gone; the example counts turns. What an answer says of leaving is told by hear, as hear_told does, so that another life's word goes no further. A hop's header was coded to text, back to bytes and to text again for each request: encode_row returns bytes.

--- a/hillfield/gate/hearing.py
+++ b/hillfield/gate/hearing.py
@@ -13,11 +13,14 @@
     now: float,
     attempt: AttemptRecord,
     notice: TargetNotice,
-) -> None:
-    """Take the word of the life that is served; none other's counts."""
+) -> bool:
+    """Take the word of the life that is served; tell if it leaves.
+
+    What another life says does not count.
+    """
     seat = state.seat
     if seat is None or seat.target.id != attempt.target.id:
-        return
+        return False
     if notice.unread:
         state.record(EventCode.TARGET_NOTICE_UNREAD, seat, notice.unread)
     before = state.limit.rate
@@ -26,6 +29,7 @@
         _record_limit(state, seat, before)
     if notice.leaving:
         state.record(EventCode.TARGET_SAYS_LEAVING, seat, 'in an answer')
+    return notice.leaving
 
 
 def hear_told(state: GateState, now: float, told: LifeNotice) -> bool:
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -87,7 +87,7 @@
     >>> read_hop(write_hop(HopOrder('leit', 7, 1, 'skrá'))).ok.origin
     'skrá'
     """
-    return encode_row(order).encode().decode(WIRE)
+    return encode_row(order).decode(WIRE)
 
 
 def read_hop(text: str) -> Result[HopOrder, str]:
--- a/hillfield/gate/limit.py
+++ b/hillfield/gate/limit.py
@@ -29,8 +29,8 @@
     >>> limit = RateLimit()
     >>> limit.hear(0, 0, 2.0)
     True
-    >>> limit.has_turn(0.4), limit.has_turn(0.5)
-    (False, True)
+    >>> limit.count_turns(0.4), limit.count_turns(0.5)
+    (0, 1)
     >>> limit.take(0.5)
     >>> limit.find_wait(0.5, ahead=1)
     1.0
@@ -56,14 +56,7 @@
         if _allows_more(rate, self.rate) and began < self._heard:
             return False
         self._heard = now
-        if rate == self.rate:
-            return False
-        if self.rate is None:
-            self._begin_counting(now)
-            self._bucket.tokens = 0
-        self._pass_time(now)
-        self._adopt(rate)
-        return True
+        return self._adopt(now, rate, turns=0)
 
     def adopt_told(self, now: float, rate: float) -> bool:
         """Take what another node was told; tell whether it limits more.
@@ -73,21 +66,7 @@
         """
         if self._heard > float('-inf') or _allows_more(rate, self.rate):
             return False
-        if rate == self.rate:
-            return False
-        if self.rate is None:
-            self._begin_counting(now)
-            self._bucket.tokens = 1
-        self._pass_time(now)
-        self._adopt(max(0, rate))
-        return True
-
-    def has_turn(self, now: float) -> bool:
-        """Tell whether the limit lets a request through now."""
-        if self.rate is None:
-            return True
-        self._pass_time(now)
-        return self._bucket.can_take()
+        return self._adopt(now, max(0, rate), turns=1)
 
     def take(self, now: float) -> None:
         """Count a request that is let through."""
@@ -128,9 +107,17 @@
         self.sent = 0
         self.declined = 0
 
-    def _adopt(self, rate: float | None) -> None:
+    def _adopt(self, now: float, rate: float | None, turns: int) -> bool:
+        """Take a rate, with so many turns if there was no limit before."""
+        if rate == self.rate:
+            return False
+        if self.rate is None:
+            self._begin_counting(now)
+            self._bucket.tokens = turns
+        self._pass_time(now)
         self.rate = rate
         self._bucket.bound(max(1, SAVED_SECONDS * self._find_pace()))
+        return True
 
     def _pass_time(self, now: float) -> None:
         if self.rate is not None:
--- a/hillfield/gate/notes.py
+++ b/hillfield/gate/notes.py
@@ -61,10 +61,7 @@
     ) -> None:
         """Take what the target says of itself in an attempt's answer."""
         found = self._state.ledger.find(attempt)
-        if found is None:
-            return
-        hear(self._state, now, found, notice)
-        if notice.leaving:
+        if found is not None and hear(self._state, now, found, notice):
             self.on_leaving(now, found.target.id)
 
     def adopt_report(self, now: float, report: LoadReport) -> None:
--- a/hillfield/loadreports/fields.py
+++ b/hillfield/loadreports/fields.py
@@ -48,7 +48,7 @@
         report.usable,
         report.notice,
     )
-    return encode_row(told)
+    return encode_row(told).decode()
 
 
 def read_room(target: TargetId, text: str) -> LoadReport | None:
--- a/hillfield/model/structs.py
+++ b/hillfield/model/structs.py
@@ -6,7 +6,7 @@
 from msgspec.json import Encoder
 
 _ENCODER: Final = Encoder()
-_UNTOLD: Final = ',null]'
+_UNTOLD: Final = b',null]'
 
 
 def is_struct(kind: object) -> TypeGuard[type[Struct]]:
@@ -20,17 +20,16 @@
     return isinstance(kind, type) and issubclass(kind, Struct)
 
 
-def encode_row(row: Struct) -> str:
+def encode_row(row: Struct) -> bytes:
     """Return a data class as a JSON array, less a last field that is None.
 
     >>> class Pair(Struct, array_like=True):
     ...     left: int
     ...     right: int | None = None
     >>> encode_row(Pair(1)), encode_row(Pair(1, 2))
-    ('[1]', '[1,2]')
+    (b'[1]', b'[1,2]')
     """
-    coded = _ENCODER.encode(row).decode()
+    coded = _ENCODER.encode(row)
     if coded.endswith(_UNTOLD):
-        shorter = coded.removesuffix(_UNTOLD)
-        return f'{shorter}]'
+        return b'%b]' % coded.removesuffix(_UNTOLD)
     return coded
