Show how late a node's loop was, and how much of that was its own work

Its logs say that a target expired or hung, and nothing of the node that judged so. Missing for telling the hypotheses apart: whether the node read anything in the time that it held against others, and whether it was at work or had no processor. Now the one look that comes before each tick measures it: LOOP_LATE (1004) from 0.3 s on, with the seconds of processor that the process had in them, and the counter hillfield_loop_late_seconds_total. Nothing judges by it yet. Cost: one call of process_time in each tenth of a second.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -12,6 +12,7 @@
     NODE_STARTED = 1001
     NODE_DRAINING = 1002
     NODE_STOPPED = 1003
+    LOOP_LATE = 1004
     REQUEST_MALFORMED = 2001
     REQUEST_TOO_LARGE = 2002
     REQUEST_TOO_SLOW = 2003
@@ -113,6 +114,7 @@
         EventCode.NODE_STARTED: 'info',
         EventCode.NODE_DRAINING: 'info',
         EventCode.NODE_STOPPED: 'info',
+        EventCode.LOOP_LATE: 'warning',
         EventCode.REQUEST_MALFORMED: 'info',
         EventCode.REQUEST_TOO_LARGE: 'info',
         EventCode.REQUEST_TOO_SLOW: 'info',
--- a/hillfield/metrics/node.py
+++ b/hillfield/metrics/node.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import (
     CollectorRegistry,
+    Counter,
     ProcessCollector,
     disable_created_metrics,
 )
@@ -64,6 +65,11 @@
             "Headers of the target's answers that no part reads, by name.",
             'header',
         )
+        self._late = Counter(
+            'hillfield_loop_late_seconds',
+            'Seconds in which the node read nothing that had come for it.',
+            registry=registry,
+        )
         ProcessCollector(registry=registry)
 
     def watch(self, source: ReadingSource) -> None:
@@ -94,6 +100,10 @@
         """Count a header that no part reads; few names are told apart."""
         self._unread_headers.count((name,))
 
+    def note_late(self, seconds: float) -> None:
+        """Count seconds for which the node's loop was late."""
+        self._late.inc(seconds)
+
     def render(self) -> Iterator[bytes]:
         """Yield the text format of Prometheus in pieces of short work."""
         return render_pieces(self.registry)
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -184,6 +184,7 @@
 
     def _tick_gate(self) -> None:
         now = monotonic()
+        self.watch.look(now)
         self.seating.follow_expiry(now)
         self._hops.deliver(self.gate.poll(now))
 
--- a/hillfield/node/node.py
+++ b/hillfield/node/node.py
@@ -12,6 +12,7 @@
 from hillfield.events import EventCode, Occurrence
 from hillfield.fleet import Fleet, FleetListeners, FleetSettings
 from hillfield.model import Address
+from hillfield.node.lateness import LoopWatch
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts
 from hillfield.node.reading import NodeGauges
@@ -45,6 +46,7 @@
         """Take the parts; nothing is opened before `start`."""
         self.parts = parts
         self.page = NodePage(self.parts)
+        self.watch = LoopWatch(parts.journal, parts.metrics)
         ports = ControlPorts(
             registry=self.parts.registry,
             timeline=self.parts.timeline,
@@ -157,7 +159,7 @@
         self.page.join(fleet)
         parts.desk.connect(core.view, core.findings, parts.proxy.retire)
         parts.metrics.watch(NodeGauges(parts, self.page))
-        self.ticker = Ticker(parts, fleet)
+        self.ticker = Ticker(parts, fleet, self.watch)
         self._ticking = find_timer().every(self.tick, self.ticker.tick)
         self._tasks = tuple(
             asyncio.create_task(work) for work in self._list_work(fleet)
--- a/hillfield/node/ticking.py
+++ b/hillfield/node/ticking.py
@@ -8,6 +8,7 @@
 from hillfield.fleet import Fleet
 from hillfield.model import TargetState
 from hillfield.node.counting import TotalsCarrier
+from hillfield.node.lateness import LoopWatch
 from hillfield.node.parts import Parts
 from hillfield.node.sharing import EvidenceGate
 
@@ -18,13 +19,14 @@
 class Ticker:
     """Move time on in the pure parts and carry what they say between them."""
 
-    def __init__(self, parts: Parts, fleet: Fleet) -> None:
+    def __init__(self, parts: Parts, fleet: Fleet, watch: LoopWatch) -> None:
         """Prepare; the node calls `tick` each `TICK` seconds.
 
         While `leaving`, the host's targets are told as draining.
         """
         self._parts = parts
         self._fleet = fleet
+        self._watch = watch
         self._totals = TotalsCarrier(parts, fleet)
         self._gate = EvidenceGate(
             parts.settings.name,
@@ -37,6 +39,7 @@
     def tick(self) -> None:
         """Do what is due."""
         now = monotonic()
+        self._watch.look(now)
         self._ticks += 1
         core = self._fleet.state.core
         if core.own.ready:
--- a/hillfield/timers/__init__.py
+++ b/hillfield/timers/__init__.py
@@ -1,5 +1,5 @@
 """One timer for all that a process does at times."""
 
-from hillfield.timers.shared import Appointment, SharedTimer, find_timer
+from hillfield.timers.shared import STEP, Appointment, SharedTimer, find_timer
 
-__all__ = ('Appointment', 'SharedTimer', 'find_timer')
+__all__ = ('STEP', 'Appointment', 'SharedTimer', 'find_timer')
