Hold no silence against others in which the node itself read nothing

Cause: a node whose loop is late judged by the clock what lay unread in its sockets. Heartbeats, answers, and what neighbours say were all missing to it. Why it works: each tick first measures by how much it is late (node/lateness.py) and tells it to all that judge by age before they judge: the registry of targets, the ages of attempts at the board and at the gate, and (as it had for pauses of 1.5 s and more) the links of the fleet. Ages run on by the step itself, so that a node that is late all the time still finds who is silent, later by its lateness. Real silence at a node that is in time is found as before; a test says so after a late loop, too. Ruled out: the leases of the store, which end by the store's time, and deadlines, which are the caller's; they stay as they are. Three of the four new tests failed with the excuses taken out (registry in a real node, board, gate); the fleet's fails without its short pauses. Crash evidence uses the start of a run, which no excuse moves.

--- a/hillfield/announcements/lives.py
+++ b/hillfield/announcements/lives.py
@@ -48,6 +48,10 @@
             return True
         return now - self.draining > settings.drain_seconds
 
+    def excuse(self, now: float, seconds: float) -> 'Life':
+        """Return the life as if it had been heard so many seconds later."""
+        return replace(self, heard=min(now, self.heard + seconds))
+
     def continues(
         self,
         now: float,
--- a/hillfield/announcements/registry.py
+++ b/hillfield/announcements/registry.py
@@ -93,6 +93,16 @@
         self._expire(now)
         return self._targets
 
+    def excuse(self, now: float, seconds: float) -> None:
+        """Hold no silence of the last seconds against targets.
+
+        This node read nothing in them: what targets said lay unread.
+        """
+        self._lives = {
+            place: life.excuse(now, seconds)
+            for place, life in self._lives.items()
+        }
+
     def lives(self, now: float) -> tuple[Life, ...]:
         """Return all that is known, for operators, ordered by place."""
         self._expire(now)
--- a/hillfield/detection/attempts.py
+++ b/hillfield/detection/attempts.py
@@ -1,6 +1,7 @@
 """Attempts in flight, so that a stall shows before it times out."""
 
 from dataclasses import dataclass
+from itertools import chain
 
 from hillfield.detection.latencies import Limits
 from hillfield.model import TargetId
@@ -8,10 +9,15 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """Hold an attempt that has no answer yet; `overdue` counts limits."""
+    """Hold an attempt that has no answer yet; `overdue` counts limits.
+
+    `aged_from` is the moment from which its age counts: later than its start
+    by the seconds in which this node read no answers.
+    """
 
     target: TargetId
     started: float
+    aged_from: float
     overdue: int = 0
 
 
@@ -37,7 +43,12 @@
 
     def start(self, now: float, target: TargetId, number: int) -> None:
         """Add an attempt."""
-        self._fresh[number] = Attempt(target, now)
+        self._fresh[number] = Attempt(target, now, now)
+
+    def excuse(self, now: float, seconds: float) -> None:
+        """Leave the last seconds out of the age of each attempt."""
+        for attempt in chain.from_iterable(map(dict.values, self._stages)):
+            attempt.aged_from = min(now, attempt.aged_from + seconds)
 
     def take(self, number: int) -> Attempt | None:
         """Remove and return an attempt."""
@@ -66,13 +77,13 @@
 def _move(
     source: dict[int, Attempt],
     sink: dict[int, Attempt],
-    started_before: float,
+    aged_before: float,
     passed: list[Attempt],
 ) -> None:
     while source:
         number = next(iter(source))
         attempt = source[number]
-        if attempt.started >= started_before:
+        if attempt.aged_from >= aged_before:
             return
         attempt.overdue += 1
         sink[number] = source.pop(number)
--- a/hillfield/detection/board.py
+++ b/hillfield/detection/board.py
@@ -7,10 +7,10 @@
 from hillfield.detection.health import Health
 from hillfield.detection.lateness import (
     count_given_up,
-    count_head,
     count_overdue,
     is_counted,
 )
+from hillfield.detection.noting import AttemptNotes
 from hillfield.detection.records import find_standing
 from hillfield.detection.reports import Statement
 from hillfield.detection.rotation import Rotation, build_rotation
@@ -30,7 +30,7 @@
 )
 
 
-class HealthBoard:
+class HealthBoard(AttemptNotes):
     """Judge targets by real requests against their peers.
 
     Pure: all times are seconds of one monotonic clock that the caller reads.
@@ -43,7 +43,7 @@
         tuning: Tuning = DEFAULT_TUNING,
     ) -> None:
         """Start without targets; `locality` is that of this node."""
-        self._service = Service(policy, locality, tuning)
+        super().__init__(Service(policy, locality, tuning))
         self._rotation = build_rotation((), policy.floor)
         self._reported = self._rotation
         self._now: float = 0
@@ -58,24 +58,6 @@
         self._now = now
         replace_targets(self._service, targets, now)
 
-    def note_started(self, now: float, target: TargetId, attempt: int) -> None:
-        """Note that an attempt is about to be written."""
-        self._service.attempts.start(now, target, attempt)
-        self._service.demand.add()
-        record = self._service.records.get(target)
-        if record is None:
-            return
-        self._service.counted.add(target)
-        if record.health is Health.TRIAL:
-            record.trials.add(attempt)
-
-    def note_head(self, now: float, target: TargetId, attempt: int) -> None:
-        """Note that the head of the attempt's answer has come."""
-        started = self._service.attempts.take(attempt)
-        record = self._service.records.get(target)
-        if started is not None and record is not None:
-            count_head(self._service, record, started, now)
-
     def observe(
         self,
         now: float,
--- a/hillfield/detection/boards.py
+++ b/hillfield/detection/boards.py
@@ -43,6 +43,12 @@
     ) -> None:
         """Note what a probe found."""
 
+    def excuse(self, now: float, seconds: float) -> None:
+        """Hold no silence of the last seconds against targets.
+
+        This node read nothing in them.
+        """
+
     def rotation(self) -> Rotation:
         """Return the targets that may receive work."""
 
--- a/hillfield/detection/lateness.py
+++ b/hillfield/detection/lateness.py
@@ -30,7 +30,7 @@
     """Count how long an answer's head took."""
     if is_excused(record, attempt):
         return
-    seconds = now - attempt.started
+    seconds = now - attempt.aged_from
     limits = find_limits(service, record)
     if record.health not in OUT:
         add_latency(service, record, seconds)
--- a/hillfield/detection/quiet.py
+++ b/hillfield/detection/quiet.py
@@ -18,6 +18,9 @@
     def note_head(self, now: float, target: TargetId, attempt: int) -> None:
         """Ignore the head: `observe` follows."""
 
+    def excuse(self, now: float, seconds: float) -> None:
+        """Excuse nobody: ends alone are judged here."""
+
     def evidence(self, now: float) -> tuple[Evidence, ...]:
         """Return nothing: such a board tells nobody."""
         return ()
--- a/hillfield/detection/tests/test_busy_host.py
+++ b/hillfield/detection/tests/test_busy_host.py
@@ -64,3 +64,33 @@
         work_peers(service, late_of_ten=8)
         service.pass_time()
     assert EventCode.TARGET_CLEARED not in service.codes
+
+
+def test_requests_do_not_hang_while_their_node_reads_no_answers():
+    # Two requests of a well target were counted as hung after a late loop.
+    service = Service()
+    service.work(20, FINE, USUAL, everywhere=True)
+    attempts = list(range(100000, 100004))
+    for attempt in attempts:
+        service.board.note_started(service.now, SICK, attempt)
+    service.now += 2
+    service.board.excuse(service.now, 1.9)
+    service.pass_time(0)
+    for told in attempts:
+        service.board.note_head(service.now, SICK, told)
+        service.board.observe(service.now, SICK, told, FINE)
+    service.pass_time()
+    assert EventCode.TARGET_SUSPECTED not in service.codes
+
+
+def test_requests_that_hang_show_as_soon_after_a_late_loop():
+    service = Service()
+    service.work(20, everywhere=True)
+    service.now += 2
+    service.board.excuse(service.now, 1.9)
+    for attempt in range(100000, 100006):
+        service.board.note_started(service.now, SICK, attempt)
+    for _ in range(15):
+        work_peers(service, late_of_ten=0)
+        service.pass_time()
+    assert EventCode.TARGET_SUSPECTED in service.codes
--- a/hillfield/fleet/peering/link_table.py
+++ b/hillfield/fleet/peering/link_table.py
@@ -31,6 +31,11 @@
     differences: list[int] = field(default_factory=lambda: [0, 0])
     repaired: float = -inf
 
+    def excuse(self, now: float, seconds: float) -> None:
+        """Hold no silence of the last seconds against the peer."""
+        self.heard = min(now, self.heard + seconds)
+        self.opened = min(now, self.opened + seconds)
+
     @property
     def last_sign(self) -> float:
         """Return when the link was opened or its peer heard."""
--- a/hillfield/fleet/peering/upkeep.py
+++ b/hillfield/fleet/peering/upkeep.py
@@ -4,6 +4,7 @@
 
 from msgspec.structs import replace
 
+from hillfield.clocks.lateness import TOLERATED
 from hillfield.events import EventCode
 from hillfield.fleet.core import Core
 from hillfield.fleet.handling import heartbeat_of, hello_of
@@ -13,6 +14,8 @@
 from hillfield.fleet.records import NodeRecord
 from hillfield.model import Address
 
+# Seconds between two looks from which a node tells its neighbours that it is
+# back: they may have lost it.
 PAUSE_NOTICED: Final = 1.5
 CHOOSE_AGAIN: Final = 1.0
 SEEK_AGAIN: Final = 5.0
@@ -23,17 +26,20 @@
 def note_pause(core: Core, now: float) -> None:
     """Forgive the neighbours the silence of our own pause, and ask anew.
 
-    Only the end that dialled a link asks: one that is accepted at both ends
+    What they said in it lies unread, also where it was a short one. Only the end that dialled a link asks: one that is accepted at both ends
     would be nobody's to close.
     """
     gap = now - core.clock.ticked
     core.clock.ticked = now
-    if not PAUSE_NOTICED <= gap < float('inf'):
+    late = gap - core.settings.tick
+    if not TOLERATED < late < float('inf'):
+        return
+    for link in core.links:
+        link.excuse(now, late)
+    if gap < PAUSE_NOTICED:
         return
     core.report(EventCode.PAUSE_NOTICED, detail=f'{gap:.1f} s')
     for link in core.links:
-        link.heard += gap
-        link.opened += gap
         core.outbox.send(link.address, hello_of(core, asks=link.dialled))
 
 
--- a/hillfield/fleet/tests/test_state.py
+++ b/hillfield/fleet/tests/test_state.py
@@ -310,3 +310,13 @@
     heard = max(link.last_sign for link in core.heard_links())
     assert not is_cut_off(core, heard + 0.7)
     assert is_cut_off(core, heard + 0.9)
+
+
+def test_a_short_pause_of_its_own_costs_a_node_no_neighbour(mesh):
+    # What they said in it lay unread, and they were taken for silent.
+    paused = NODES[5]
+    links = core_of(mesh, paused).links
+    for link in links:
+        link.heard -= 1.9
+    mesh.states[paused].take(mesh.now + 1.4, Ticked())
+    assert all(link.up for link in links)
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -89,6 +89,10 @@
             self._state.queue.remove(record)
             self._state.ledger.end(record, RequestTrigger.LEAVE)
 
+    def excuse(self, now: float, seconds: float) -> None:
+        """Hold no silence of the last seconds against the target."""
+        self._state.ledger.excuse(now, seconds)
+
     def poll(self, now: float) -> tuple[Verdict, ...]:
         """Return verdicts for the waiting; call after finish, in ticks."""
         judge_running(self._state, now)
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -105,7 +105,7 @@
 
     def find_work(self, now: float, attempt: AttemptRecord) -> float:
         """Return the seconds that a request has been at a warm target."""
-        seconds = now - attempt.started
+        seconds = attempt.find_age(now)
         target = self.target
         if target is not None and target.state is TargetState.COLD:
             return seconds / COLD_FACTOR
--- a/hillfield/gate/tests/test_suspicion.py
+++ b/hillfield/gate/tests/test_suspicion.py
@@ -213,3 +213,15 @@
 def test_fewer_requests_are_swallowed_when_a_target_begins_to_hang():
     """Judged by one limit of four times the mean 3.25 in 7 s, now 1.35."""
     assert find_swallowed() <= LEAST_SWALLOWED
+
+
+def test_a_gate_that_read_no_answers_does_not_take_them_for_missing(gate):
+    # Their age was the gate's own lateness.
+    learn(gate, CALL, 0.05)
+    sent = [admit(gate, f'c{number}', 50, CALL) for number in range(5)]
+    gate.excuse(51.2, 1.15)
+    gate.poll(51.2)
+    assert gate.report(51.2).held is Held.NOTHING
+    gate.poll(52.4)
+    assert gate.report(52.4).held is not Held.NOTHING
+    assert len(sent) == 5
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -85,6 +85,7 @@
             self.crashes.at_callers,
         )
         super().__init__(settings, parts)
+        self.watch.listeners.append(self.gate.excuse)
         self.seating = Seating(parts.registry, self.gate)
         self._fittings = fittings
         self._hops = ProxyServer(
--- a/hillfield/node/node.py
+++ b/hillfield/node/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from functools import partial
 from typing import Final
 
 from expression import Error, Ok, Result
@@ -12,7 +13,7 @@
 from hillfield.events import EventCode, Occurrence
 from hillfield.fleet import Fleet, FleetListeners, FleetSettings
 from hillfield.model import Address
-from hillfield.node.lateness import LoopWatch
+from hillfield.node.lateness import LoopWatch, excuse_targets
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts
 from hillfield.node.reading import NodeGauges
@@ -47,6 +48,10 @@
         self.parts = parts
         self.page = NodePage(self.parts)
         self.watch = LoopWatch(parts.journal, parts.metrics)
+        self.watch.listeners += (
+            parts.registry.excuse,
+            partial(excuse_targets, parts.table),
+        )
         ports = ControlPorts(
             registry=self.parts.registry,
             timeline=self.parts.timeline,
--- a/hillfield/node/tests/test_lateness.py
+++ b/hillfield/node/tests/test_lateness.py
@@ -1,8 +1,17 @@
-"""What a node says of its own lateness."""
+"""What a node says of its own lateness, and what it makes of it."""
 
-from hillfield.events import EventCode, ListJournal
+import asyncio
+import time
+
+from hillfield.announcements import Announcement
+from hillfield.clocks import monotonic, read_wall
+from hillfield.events import EventCode, ListJournal, TimelineFilter
 from hillfield.metrics import NodeMetrics
+from hillfield.model import Address
 from hillfield.node.lateness import LoopWatch
+from hillfield.node.tests.test_node import make_node
+
+TARGET = Announcement('gateway', Address('127.0.0.1', 8081), 4)
 
 
 def read_late(metrics):
@@ -17,7 +26,7 @@
     metrics = NodeMetrics()
     watch = LoopWatch(journal, metrics)
     told = list[float]()
-    watch.listeners.append(told.append)
+    watch.listeners.append(lambda now, late: told.append(late))
     for now in (5, 5.1, 5.2, 6.3, 6.4):
         watch.look(now)
     assert [round(late, 3) for late in told] == [1]
@@ -25,3 +34,32 @@
     codes = [occurrence.code for occurrence in journal.occurrences]
     assert codes == [EventCode.LOOP_LATE]
     assert journal.occurrences[0].detail.startswith('1.00 s late, 0.0')
+
+
+def test_a_target_does_not_expire_while_its_node_reads_nothing():
+    # Heartbeats lay unread, and callers were told that there was no target.
+    async def play():
+        node = make_node()
+        expiry = node.parts.settings.announcements.expiry
+        await node.start()
+        registry = node.parts.registry
+        registry.announce(monotonic(), read_wall(), TARGET)
+        await asyncio.sleep(0.2)
+        time.sleep(expiry)
+        await asyncio.sleep(0.2)
+        kept = registry.targets(monotonic())
+        late = has_event(node, EventCode.LOOP_LATE)
+        await asyncio.sleep(expiry)
+        left = registry.targets(monotonic())
+        await node.stop()
+        return kept, late, left
+
+    kept, late, left = asyncio.run(play())
+    assert kept
+    assert late
+    assert not left
+
+
+def has_event(node, code):
+    entries = node.parts.timeline.select(TimelineFilter())
+    return any(entry.code == code for entry in entries)
--- a/hillfield/routing/records.py
+++ b/hillfield/routing/records.py
@@ -100,7 +100,8 @@
 class AttemptRecord:
     """Follow one attempt; `hung` says that it was counted as too long.
 
-    `weight` is what its age has added to its target's score.
+    `weight` is what its age has added to its target's score, `missed` the
+    seconds in which this node read no answers: they don't count for its age.
     """
 
     number: int
@@ -110,6 +111,11 @@
     phase: AttemptPhase = ATTEMPT_CHART.initial
     hung: bool = False
     weight: float = 0
+    missed: float = 0
+
+    def find_age(self, now: float) -> float:
+        """Return the seconds in which an answer would have been read."""
+        return now - self.started - self.missed
 
     def follow(self, trigger: AttemptTrigger) -> AttemptAction:
         """Take a step of the chart."""
@@ -160,6 +166,11 @@
             self.strays += 1
         return attempt
 
+    def excuse(self, now: float, seconds: float) -> None:
+        """Leave the last seconds out of the age of each attempt."""
+        for attempt in self.attempts.values():
+            attempt.missed += min(seconds, attempt.find_age(now))
+
     def close(self, attempt: AttemptRecord) -> None:
         """Forget an attempt that has ended."""
         self.attempts.pop(attempt.number)
