Read what has come before a wait is ended by a late loop

Cause: a loop that was late finds its timers due before it has read anything, and ended the wait: requests at their deadline, a look for a sign of life, the opening of a connection. Why it works: whoever ends a wait late by more than 0.05 s first lets the loop pass six times (timers/reading.py), in which an answer is read, parsed and told; then the wait ends as before. In time, nothing changes.

--- a/hillfield/clocks/__init__.py
+++ b/hillfield/clocks/__init__.py
@@ -1,6 +1,6 @@
 """The clocks by which nodes decide and date."""
 
 from hillfield.clocks.clocks import monotonic, read_wall
-from hillfield.clocks.lateness import Lateness
+from hillfield.clocks.lateness import TOLERATED, Lateness
 
-__all__ = ('Lateness', 'monotonic', 'read_wall')
+__all__ = ('TOLERATED', 'Lateness', 'monotonic', 'read_wall')
--- a/hillfield/fleet/peering/upkeep.py
+++ b/hillfield/fleet/peering/upkeep.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from hillfield.clocks.lateness import TOLERATED
+from hillfield.clocks import TOLERATED
 from hillfield.events import EventCode
 from hillfield.fleet.core import Core
 from hillfield.fleet.handling import heartbeat_of, hello_of
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -1,7 +1,7 @@
 """Course of one request from its admission to its answer."""
 
-from asyncio import get_running_loop
 from collections.abc import Awaitable
+from functools import partial
 from typing import Final
 
 from hillfield.clocks import monotonic
@@ -9,6 +9,7 @@
 from hillfield.proxy.attempts import Attempt
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.courses import Course
+from hillfield.proxy.deadlines import Deadline
 from hillfield.proxy.failures import Fault, describe_stray
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.orders import Order
@@ -43,7 +44,6 @@
         reply: Reply,
     ) -> None:
         """Start the deadline; the request may still be coming in."""
-        loop = get_running_loop()
         self.started = False
         self._started_at = float()
         self.closed = False
@@ -62,11 +62,9 @@
         )
         self._fallback: Attempt | None = None
         self._sign: Appointment | None = None
-        self._timer = loop.call_later(
-            order.expires - monotonic(),
-            run_guarded,
-            self.expire,
-            self.note_stray,
+        self._deadline = Deadline(
+            order.expires,
+            partial(run_guarded, self.expire, self.note_stray),
         )
 
     def start(self, replayable: bool) -> None:
@@ -202,7 +200,7 @@
 
     def _close(self) -> None:
         self.closed = True
-        self._timer.cancel()
+        self._deadline.cancel()
         if self._sign is not None:
             self._sign.cancel()
         self._order.body.discard()
--- a/hillfield/proxy/pool.py
+++ b/hillfield/proxy/pool.py
@@ -1,7 +1,7 @@
 """Connections to targets, each used by one request at a time."""
 
 import socket
-from asyncio import get_running_loop, wait_for
+from asyncio import get_running_loop, wait
 from collections import deque
 from typing import Final
 
@@ -12,6 +12,7 @@
 from hillfield.model import Address, TargetId
 from hillfield.proxy.settings import ProxySettings
 from hillfield.proxy.streams import PromptStream
+from hillfield.timers import wait_until_read
 
 
 # Seconds before the end that a target names for an idle connection in which it
@@ -142,15 +143,14 @@
         link = socket.socket(family, socket.SOCK_STREAM)
         link.setblocking(False)  # noqa: WPS425 the library's own order
         stream = PromptStream(link, self._settings)
-        try:
-            await wait_for(
-                stream.connect((address.ip, address.port)),
-                self._settings.connect_timeout,
-            )
-        except TimeoutError:
+        connected = stream.connect((address.ip, address.port))
+        await wait((connected,), timeout=self._settings.connect_timeout)
+        if not connected.done():
+            await wait_until_read()
+        if not connected.done():
             stream.close()
-            raise
-        return stream
+            raise TimeoutError
+        return connected.result()
 
 
 def _is_clean(stream: PromptStream) -> bool:
--- a/hillfield/proxy/signs.py
+++ b/hillfield/proxy/signs.py
@@ -1,15 +1,16 @@
 """Signs of life of the node that a request was sent to."""
 
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
-from hillfield.clocks import monotonic
+from hillfield.clocks import TOLERATED, monotonic
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.incoming import IncomingAnswer
 from hillfield.proxy.orders import Order
 from hillfield.proxy.tools import AttemptTools
 from hillfield.routing.requests import Broken, Observation, Send
-from hillfield.timers import find_timer
+from hillfield.timers import STEP, find_timer, run_when_read
 
 
 class StrayNoting(Protocol):
@@ -44,12 +45,17 @@
     order: Order,
 ) -> None:
     """Look for a sign of life in time, where the other end sends them."""
-    if tools.settings.sign_within:
-        looking = partial(look_for_sign, attempt, tools, order)
+    within = tools.settings.sign_within
+    if within:
+        looking = partial(
+            run_guarded,
+            partial(look_for_sign, attempt, tools, order),
+            attempt.owner.note_stray,
+        )
         # Shared: most answers come before it, and need no wake-up then.
         find_timer().after(
-            tools.settings.sign_within,
-            partial(run_guarded, looking, attempt.owner.note_stray),
+            within,
+            partial(_look_in_time, monotonic() + within, looking),
         )
 
 
@@ -74,3 +80,11 @@
     if held or repeatable:
         attempt.end(Broken('no sign of life'))
         attempt.cut()
+
+
+def _look_in_time(due: float, looking: Callable[[], None]) -> None:
+    """Look at once, or where the loop is late, once it has read."""
+    if monotonic() - due > STEP + TOLERATED:
+        run_when_read(looking)
+    else:
+        looking()
