Take a crowd of requests a few in each pass of the loop

Cause: all requests whose heads had come were parsed, planned and refused in one pass of the loop, up to 128 new connections in each; the answer of what ran, the next send and the target's heartbeat waited for the whole of it. Why it works: heads that have come wait for their turn (proxy/intake.py), eight a pass; each pass reads what has come of running work. The wait counts for the request's own deadline: it runs from when its head had come. Nothing is added while fewer than eight come between two passes but one call in eight requests. Tests, proxy/tests/test_intake.py: 80 requests were taken in one pass before (a run with the bound at 8,000: failed with 80 <= 8).

--- a/hillfield/proxy/callers.py
+++ b/hillfield/proxy/callers.py
@@ -29,7 +29,12 @@
 
     def __init__(self, link: socket.socket, context: ProxyContext) -> None:
         """Take over an accepted socket."""
-        self.stream = CallerStream(link, context.settings, self)
+        self.stream = CallerStream(
+            link,
+            context.settings,
+            self,
+            context.intake,
+        )
         self._context = context
         self._tuning = HTTP1ConnectionParameters(
             chunk_size=context.settings.part_size,
--- a/hillfield/proxy/context.py
+++ b/hillfield/proxy/context.py
@@ -7,6 +7,7 @@
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.model import RequestFailure
 from hillfield.proxy.guards import run_guarded
+from hillfield.proxy.intake import Intake
 from hillfield.proxy.meters import RequestMeter
 from hillfield.proxy.pool import Pool
 from hillfield.proxy.ports import CrashGuard, PlanSource
@@ -49,6 +50,7 @@
         self.meter = meter
         self.guard = guard
         self.pool = Pool(settings)
+        self.intake = Intake()
         self.draining = False
         self.takers: dict[str, VerdictTaking] = {}
         self.wakes = Wakes(self.poll)
--- a/hillfield/proxy/planning.py
+++ b/hillfield/proxy/planning.py
@@ -5,7 +5,6 @@
 from msgspec.structs import replace
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from hillfield.clocks import monotonic
 from hillfield.holding import COME_BACK, Holder
 from hillfield.model import RequestFailure, RequestPlan
 from hillfield.proxy.bodies import RequestBody
@@ -35,8 +34,12 @@
     headers: HTTPHeaders,
     body: RequestBody,
     naming: Naming,
+    came: float,
 ) -> Result[Order, RequestFailure]:
-    """Return what each attempt sends, or the failure to answer with."""
+    """Return what each attempt sends, or the failure to answer with.
+
+    `came` is when the head had come: from then on its caller waits.
+    """
     dialect = context.settings.callers
     head = read_request_head(start_line, headers, dialect.key_scheme)
     resolved = context.plans.resolve(head)
@@ -63,7 +66,7 @@
                 dialect.removed,
                 dialect.key_scheme,
             ),
-            monotonic() + deadline,
+            came + deadline,
             Holder(context.settings.budget, plan.account),
         ),
     )
--- a/hillfield/proxy/replies.py
+++ b/hillfield/proxy/replies.py
@@ -29,7 +29,8 @@
     """Answer one request in its turn, whole or visibly not whole.
 
     `begun` tells that a part of the answer has been given, `chunks` that the
-    caller understands chunked bodies.
+    caller understands chunked bodies, `came` when the request's head had
+    come, in monotonic seconds.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.writer = AnswerWriter(connection, stream, turn)
         self.begun = False
         self.method = ''
+        self.came = stream.came
         self.chunks = True
         self._stream = stream
         self._dialect = dialect
@@ -57,6 +59,7 @@
     ) -> None:
         """Learn from a request's head how its answer is to be written."""
         self.method = start_line.method
+        self.came = self._stream.came
         asked = headers.get('Connection', '').lower()
         self.turn.closing = draining or 'close' in asked
         if start_line.version == 'HTTP/1.0':
--- a/hillfield/proxy/requests.py
+++ b/hillfield/proxy/requests.py
@@ -135,6 +135,7 @@
             headers,
             self._body,
             naming,
+            self.reply.came,
         )
         if planned.is_ok():
             self._order = planned.ok
--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -11,8 +11,10 @@
     UnsatisfiableReadError,
 )
 
+from hillfield.clocks import monotonic
 from hillfield.model import RequestFailure
 from hillfield.proxy.failures import Fault
+from hillfield.proxy.intake import Intake
 from hillfield.proxy.screening import screen_head
 from hillfield.proxy.settings import ProxySettings
 
@@ -81,7 +83,8 @@
 
     A socket that is closed with unread bytes resets the connection, by
     which the caller may lose the answer; so after a refusal the stream
-    reads on for a moment. `ending` tells that no further request is served.
+    reads on for a moment. `ending` tells that no further request is served,
+    `came` when the last head had come, in monotonic seconds.
     """
 
     def __init__(
@@ -89,15 +92,18 @@
         link: socket.socket,
         settings: ProxySettings,
         owner: Refusing,
+        intake: Intake,
     ) -> None:
         """Take over an accepted socket."""
         super().__init__(link, settings)
+        self.came = monotonic()
         self.received = 0
         self.written = 0
         self.reading_head = False
         self.lingering = False
         self.ending = False
         self._owner = owner
+        self._intake = intake
         self._ended = False
 
     async def read_until_regex(
@@ -109,6 +115,8 @@
         self.reading_head = True
         head = await super().read_until_regex(regex, max_bytes)
         self.reading_head = False
+        self.came = monotonic()
+        await self._intake.enter()
         if self.lingering or self.ending or self.closed():
             # No answer could follow: what has come already must not run, its
             # caller asks for it again.
--- /dev/null
+++ b/hillfield/proxy/tests/test_intake.py
@@ -0,0 +1,62 @@
+"""Many requests that come at once, beside those that run."""
+
+import asyncio
+
+from hillfield.clocks import monotonic
+from hillfield.proxy.intake import TAKEN_AT_ONCE, Intake
+
+GET = b'GET / HTTP/1.1\r\nHost: t\r\nX-Deadline-Ms: 5000\r\n\r\n'
+CROWD = 10 * TAKEN_AT_ONCE
+HELD = 0.3
+
+
+async def test_a_crowd_is_not_taken_in_one_pass(path):
+    # Answers to what ran lay unread until all of a crowd had been refused.
+    await path.start()
+    opened = await asyncio.gather(*(path.open() for _ in range(CROWD)))
+    for _, writer in opened:
+        writer.write(GET)
+    most = 0
+    taken = 0
+    while taken < CROWD:
+        before = taken
+        await asyncio.sleep(0)
+        taken = sum(entry[0] == 'admit' for entry in path.dispatching.seen)
+        most = max(most, taken - before)
+    assert most <= TAKEN_AT_ONCE
+    readers = [reader for reader, _ in opened]
+    answers = await asyncio.gather(*map(path.read, readers))
+    assert {body for _, body in answers} == {b'ok'}
+    for _, end in opened:
+        end.close()
+
+
+async def test_a_crowd_comes_in_by_its_order_a_few_in_each_pass():
+    intake = Intake()
+    came = []
+
+    async def come(number):
+        await intake.enter()
+        came.append(number)
+
+    crowd = [asyncio.create_task(come(number)) for number in range(CROWD)]
+    passes = 0
+    while len(came) < CROWD:
+        await asyncio.sleep(0)
+        passes += 1
+    assert came == list(range(CROWD))
+    assert passes <= 2 * CROWD / TAKEN_AT_ONCE
+    await asyncio.gather(*crowd)
+
+
+async def test_the_time_before_its_turn_is_taken_from_a_request_s_own(path):
+    await path.start()
+    path.server._context.intake.enter = hold
+    began = monotonic()
+    await path.ask(GET)
+    _, arrival = path.dispatching.seen[0]
+    assert arrival.expires - began < 5 + HELD / 2
+
+
+async def hold():
+    await asyncio.sleep(HELD)
