Accept a few connections in each pass, and serve all that wait at a stop

Cause: up to 128 connections were accepted in one pass of the loop, and their heads read in the next two. The listening socket was closed with what waited behind it. Tests in proxy/tests/test_intake.py: 80 were accepted in a pass before, and the request behind a stop met a reset (a run with server.py put back: both failed).

--- a/hillfield/proxy/connections.py
+++ b/hillfield/proxy/connections.py
@@ -29,7 +29,7 @@
         self._context = context
         self._empty = Event()
 
-    def accept(self, link: socket.socket, _peer: object) -> None:
+    def accept(self, link: socket.socket) -> None:
         """Serve a connection, or refuse it when there are too many."""
         count = len(self.tasks)
         limit = self._context.settings.connection_limit
--- a/hillfield/proxy/server.py
+++ b/hillfield/proxy/server.py
@@ -1,15 +1,13 @@
 """Server that carries callers' requests to targets."""
 
-import socket
 from asyncio import get_running_loop
-from collections.abc import Callable
 from typing import Final
 
 from msgspec.structs import replace
-from tornado.netutil import add_accept_handler, bind_sockets
 
 from hillfield.events import Journal
-from hillfield.model import Address, TargetId
+from hillfield.model import TargetId
+from hillfield.proxy.accepting import Acceptor
 from hillfield.proxy.connections import CallerConnections
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.meters import NoMeter, RequestMeter
@@ -50,21 +48,17 @@
             guard or NoGuard(),
         )
         self.pool = self._context.pool
-        self._sockets: list[socket.socket] = []
-        self._removers: list[Callable[[], None]] = []
+        self._acceptor: Acceptor | None = None
         self._connections = CallerConnections(self._context)
         self._sweeper: Appointment | None = None
 
     def start(self) -> None:
         """Listen; `address` then holds the port."""
-        wanted = self._settings.address
-        self._sockets = bind_sockets(wanted.port, wanted.ip)
-        port = self._sockets[0].getsockname()[1]
-        self.address = Address(wanted.ip, port)
-        for listener in self._sockets:
-            self._removers.append(
-                add_accept_handler(listener, self._connections.accept)
-            )
+        self._acceptor = Acceptor(
+            self._settings.address,
+            self._connections.accept,
+        )
+        self.address = self._acceptor.address
         self._sweeper = find_timer().every(_SWEEP_SECONDS, self._sweep)
 
     def adopt_limits(
@@ -120,12 +114,8 @@
         self._context.pool.close()
 
     def _stop_listening(self) -> None:
-        for remove in self._removers:
-            remove()
-        for listener in self._sockets:
-            listener.close()
-        self._removers.clear()
-        self._sockets.clear()
+        if self._acceptor is not None:
+            self._acceptor.close()
 
     def _stop_sweeping(self) -> None:
         if self._sweeper is not None:
--- a/hillfield/proxy/tests/test_intake.py
+++ b/hillfield/proxy/tests/test_intake.py
@@ -1,8 +1,10 @@
 """Many requests that come at once, beside those that run."""
 
 import asyncio
+import socket
 
 from hillfield.clocks import monotonic
+from hillfield.proxy.accepting import TAKEN_AT_ONCE as ACCEPTED_AT_ONCE
 from hillfield.proxy.intake import TAKEN_AT_ONCE, Intake
 
 GET = b'GET / HTTP/1.1\r\nHost: t\r\nX-Deadline-Ms: 5000\r\n\r\n'
@@ -13,7 +15,8 @@
 async def test_a_crowd_is_not_taken_in_one_pass(path):
     # Answers to what ran lay unread until all of a crowd had been refused.
     await path.start()
-    opened = await asyncio.gather(*(path.open() for _ in range(CROWD)))
+    opening = [path.open() for _ in range(CROWD)]
+    opened = await asyncio.gather(*opening)
     for _, writer in opened:
         writer.write(GET)
     most = 0
@@ -60,3 +63,38 @@
 
 async def hold():
     await asyncio.sleep(HELD)
+
+
+async def test_connections_are_accepted_a_few_in_each_pass(path):
+    # A pass that accepted 128 of them read no answer meanwhile.
+    await path.start()
+    address = path.server.address
+    links = [
+        socket.create_connection((address.ip, address.port))
+        for _ in range(CROWD)
+    ]
+    most = 0
+    count = 0
+    while count < CROWD:
+        before = count
+        await asyncio.sleep(0)
+        count = path.server.count_connections()
+        most = max(most, count - before)
+    assert most <= ACCEPTED_AT_ONCE
+    for link in links:
+        link.close()
+
+
+async def test_what_waits_to_be_accepted_is_served_before_a_node_stops(path):
+    await path.start()
+    address = path.server.address
+    links = [
+        socket.create_connection((address.ip, address.port))
+        for _ in range(CROWD)
+    ]
+    for link in links:
+        link.sendall(GET)
+    await path.server.drain()
+    assert all(link.recv(99).startswith(b'HTTP/1.1 200') for link in links)
+    for done in links:
+        done.close()
