Judge a line by as many departures as it needs

Cause: the pace of a line was an average in which the last interval counts a fifth. Slots are given back in groups, and a node or a target pauses: one pause of 0.3 s between departures of 8 ms counted as 0.066 s for each of those who wait, and the first interval alone as the pace of all. Why it works: a line is judged by the last departures, as many as stand in it and eight at least; with fewer known, by latency and slots, as before any are known. Ruled out: the ages of hung requests are not in it; they only take slots away.

--- a/hillfield/routing/pace.py
+++ b/hillfield/routing/pace.py
@@ -1,19 +1,35 @@
 """How quickly requests that wait get a slot."""
 
+from collections import deque
 from typing import Final
 
-from hillfield.routing.loads import Latency
-
+# Seconds after which departures say nothing of the present.
 PACE_MEMORY: Final = 5.0
+# Departures that are remembered: a longer line than the usual queue.
+DEPARTURES_KEPT: Final = 128
+# The fewest by which a line is judged: slots are given back in groups, so that
+# a few departures may lie close together, or a pause may lie between them.
+DEPARTURES_JUDGED: Final = 8
 
 
 class Pace:
-    """Measure the time between departures while requests wait."""
+    """Measure how long departures take while requests wait.
+
+    A line is judged by as many departures as it needs: one pause of the
+    targets, or of this node, then counts for what it is.
+
+    >>> pace = Pace()
+    >>> for number in range(40):
+    ...     pace.note_departure(number / 100, waiting=True)
+    >>> round(pace.expect_wait(0.4, 30, 0.05), 3)
+    0.3
+    """
 
     def __init__(self) -> None:
         """Start without a measurement."""
-        self._interval = Latency()
+        self._intervals: deque[float] = deque(maxlen=DEPARTURES_KEPT)
         self._last: float | None = None
+        self._updated = float('-inf')
 
     def note_departure(self, now: float, waiting: bool) -> None:
         """Take the end of an attempt that held a slot."""
@@ -21,7 +37,8 @@
             self._last = None
             return
         if self._last is not None:
-            self._interval.note(now, now - self._last)
+            self._intervals.append(now - self._last)
+            self._updated = now
         self._last = now
 
     def expect_wait(
@@ -33,9 +50,15 @@
         """Return the seconds until the request at this position is sent.
 
         `service_time` is latency per slot; it stands in for the measurement
-        when that is old.
+        when that is old, or too short to judge by.
         """
-        interval = service_time
-        if self._interval.mean and now - self._interval.updated < PACE_MEMORY:
-            interval = self._interval.mean
-        return position * interval
+        if now - self._updated >= PACE_MEMORY:
+            self._intervals.clear()
+        if len(self._intervals) < DEPARTURES_JUDGED:
+            return position * service_time
+        return position * self._find_interval(position)
+
+    def _find_interval(self, position: int) -> float:
+        judged = max(position, DEPARTURES_JUDGED)
+        latest = tuple(self._intervals)[-judged:]
+        return sum(latest) / len(latest)
