Let an account save up the repeats of a second of its own traffic

Cause: an account could save up three repeats and a service five, whatever its traffic. A target that fails for half a second meets, at 75 reads a second and node, five reads in a tenth of a second in one of a hundred such tenths, and one account brought them all. Why it works: the bound is what the last second's answers brought, and the old one at least, for the service and for each account; it shrinks within seconds when nothing is answered, so a service that fails as a whole gets no more than 0.2 of its last second. The users' platform keeps its bounds (retry_saving 0): there all nodes may spend at one moment what they saved, and the fleet is bound by rule.

--- a/hillfield/hostroutes/allowances.py
+++ b/hillfield/hostroutes/allowances.py
@@ -15,6 +15,9 @@
 # Modelled, the most that a service gets in 10 s while targets hang is 81.
 BURST: Final = 2.0
 RATE: Final = 0.1
+# Seconds of answered requests whose repeats one node may save up beyond that:
+# none, since all nodes may spend what they saved at the same moment.
+SAVING: Final[float] = 0
 # Requests that may wait at one node: 2 s of work of a site's busiest node.
 QUEUE_LIMIT: Final = 64
 
@@ -38,6 +41,7 @@
         queue_limit=QUEUE_LIMIT,
         account_share=1,
         retry_burst=BURST,
+        retry_saving=SAVING,
         shed_burst=BURST,
         shed_cost=1,
         patience=PATIENCE,
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -77,7 +77,8 @@
     the seconds over which a cold target gets up to its full share,
     `retry_burst` and `shed_burst` how many retries of each kind one node may
     have saved up, `shed_cost` what a retry after the shed answer costs,
-    `patience` the seconds that requests wait for a first target. Without a
+    `retry_saving` the seconds of answered requests whose retries may be saved
+    up where that is more, `patience` the seconds that requests wait for a first target. Without a
     `hedge_budget` hedges draw on that of the retries, to which `retry_rate`
     adds so many a second.
     """
@@ -93,6 +94,7 @@
     account_share: float = 0.5
     account_rate: float | None = None
     retry_burst: float = 5
+    retry_saving: float = 1
     shed_burst: float = 10
     shed_cost: float = 0.1
     patience: float = 0
--- a/hillfield/routing/budgets.py
+++ b/hillfield/routing/budgets.py
@@ -1,6 +1,7 @@
 """Budgets that bound retries, hedges and the work of one account."""
 
 from collections import OrderedDict
+from math import exp
 from typing import Final
 
 from hillfield.model import ServicePolicy
@@ -54,11 +55,74 @@
         return True
 
 
+class EarnedBucket(Bucket):
+    """Hold tokens up to a bound that grows with what comes in.
+
+    The load: a target that fails for half a second meets all the requests that
+    come to it in that time. The bound is what the last `saved` seconds brought,
+    and `least` at least; it shrinks again when nothing is answered.
+
+    >>> bucket = EarnedBucket(least=2, saved=1)
+    >>> for step in range(30):
+    ...     bucket.earn(step / 10, 1)
+    >>> bucket.tokens > 5
+    True
+    >>> bucket.fade(60)
+    >>> bucket.tokens
+    2
+    """
+
+    __slots__ = ('_earned', '_least', '_saved', '_seen')
+
+    def __init__(self, least: float, saved: float) -> None:
+        """Start full, and with nothing earned."""
+        super().__init__(least, least)
+        self._least = least
+        self._saved = saved
+        self._earned = float()
+        self._seen = float()
+
+    def copy(self, least: float) -> 'EarnedBucket':
+        """Return a full one that has earned as much."""
+        made = EarnedBucket(least, self._saved)
+        made._earned = self._earned
+        made._seen = self._seen
+        made._settle()
+        made.tokens = made.burst
+        return made
+
+    def adopt(self, least: float, saved: float) -> None:
+        """Take new bounds into force."""
+        self._least = least
+        self._saved = saved
+        self._settle()
+
+    def earn(self, now: float, tokens: float) -> None:
+        """Add what an answered request allows."""
+        self.fade(now)
+        self._earned += tokens
+        self._settle()
+        self.deposit(tokens)
+
+    def fade(self, now: float) -> None:
+        """Let the bound follow what has come in until now."""
+        passed = max(0, now - self._seen)
+        self._seen = max(now, self._seen)
+        if self._earned:
+            kept = exp(-passed / self._saved) if self._saved else 0
+            self._earned *= kept
+            self._settle()
+
+    def _settle(self) -> None:
+        self.bound(max(self._least, self._saved and self._earned))
+
+
 class RetryBudget:
     """Bound the retries and hedges of a service and of each account.
 
     Tokens come from answered requests only: when a whole service fails
-    nothing is deposited, and attempts per request tend to 1. Retries after
+    nothing is deposited, and attempts per request tend to 1. What may be saved
+    up grows with the traffic, of the service and of each account. Retries after
     the shed answer, and those of requests that could not be sent, have
     buckets of their own with larger bursts and deposits: the first cost the
     target no slot, the second no target anything.
@@ -67,35 +131,36 @@
     def __init__(self, policy: ServicePolicy) -> None:
         """Start with full bursts, so that a first failure can be retried."""
         self._shed_cost = policy.shed_cost
-        self.retries = Bucket(policy.retry_burst, policy.retry_burst)
+        self.retries = EarnedBucket(policy.retry_burst, policy.retry_saving)
         self.sheds = Bucket(policy.shed_burst, policy.shed_burst)
         self.unsent = Bucket(UNSENT_BURST, UNSENT_BURST)
         self._own_hedges = Bucket(HEDGE_BURST, 0)
         self.hedges = self._choose_hedges(policy)
         self._passed: float = 0
-        self._accounts: OrderedDict[str, Bucket] = OrderedDict()
+        self._accounts: OrderedDict[str, EarnedBucket] = OrderedDict()
 
     def note_answered(self, policy: ServicePolicy, account: str) -> None:
         """Deposit what one answered request allows."""
-        self.retries.deposit(policy.retry_budget)
+        self.retries.earn(self._passed, policy.retry_budget)
         self.sheds.deposit(policy.retry_budget / policy.shed_cost)
         self.unsent.deposit(policy.retry_budget / UNSENT_COST)
         self.hedges.deposit(policy.hedge_budget or 0)
         bucket = self._accounts.get(account)
         if bucket is not None:
-            bucket.deposit(policy.retry_budget)
+            bucket.earn(self._passed, policy.retry_budget)
 
     def pass_time(self, now: float, policy: ServicePolicy) -> None:
         """Deposit what the seconds since the last call allow."""
         seconds = min(LONGEST_PASSED, now - self._passed)
         self._passed = now
+        self.retries.fade(now)
         self.retries.deposit(policy.retry_rate * seconds)
 
     def adopt(self, policy: ServicePolicy) -> None:
         """Take new bounds into force; what is saved up stays within them."""
         self._shed_cost = policy.shed_cost
         self.hedges = self._choose_hedges(policy)
-        self.retries.bound(policy.retry_burst)
+        self.retries.adopt(policy.retry_burst, policy.retry_saving)
         self.sheds.bound(policy.shed_burst)
 
     def take_retry(self, account: str, shed: bool) -> bool:
@@ -104,6 +169,7 @@
         # Where a shed answer costs as much as a run, both share one bound.
         whole = self.sheds if cost < 1 else self.retries
         bucket = self._bucket(account)
+        bucket.fade(self._passed)
         if not (whole.can_take() and bucket.can_take(cost)):
             return False
         whole.take()
@@ -121,10 +187,11 @@
         shared = policy.hedge_budget is None
         return self.retries if shared else self._own_hedges
 
-    def _bucket(self, account: str) -> Bucket:
+    def _bucket(self, account: str) -> EarnedBucket:
         bucket = self._accounts.get(account)
         if bucket is None:
-            bucket = Bucket(ACCOUNT_BURST, ACCOUNT_BURST)
+            # Until its own answers tell, it may be all of the traffic.
+            bucket = self.retries.copy(ACCOUNT_BURST)
             self._accounts[account] = bucket
             if len(self._accounts) > ACCOUNTS_KEPT:
                 self._accounts.popitem(last=False)
--- /dev/null
+++ b/hillfield/routing/tests/test_spells.py
@@ -0,0 +1,53 @@
+"""A target that answers wrongly for half a second at a time, in modelled time."""
+
+from msgspec.structs import replace
+from pytest import mark
+
+from hillfield.detection.board import HealthBoard
+from hillfield.routing.bench import ANSWER, SERVICE, Bench, Setting
+from hillfield.routing.dispatcher import Dispatcher
+from hillfield.model import ServicePolicy
+from hillfield.routing.requests import Answered
+
+# The scenario's: 2 nodes, 6 targets of 4 slots, one account that brings all of
+# 150 reads a second.
+SETTING = Setting(
+    nodes=2,
+    targets=6,
+    slots=4,
+    rate=150,
+    seconds=4,
+    deadline=2,
+    accounts=1,
+    policy=ServicePolicy(SERVICE, floor=0.5, retry_budget=0.2),
+)
+ONSET = 1.0
+PERIOD = 1.0
+WRONG = Answered(500, wrong='status')
+
+
+class FlappingBench(Bench):
+    """Let the first target fail for the first half of each second."""
+
+    def _complete(self, now, fake, node, send):
+        phase = (now - ONSET) % PERIOD
+        sick = now >= ONSET and phase < PERIOD / 2
+        first = fake is next(iter(self._targets.values()))
+        fake.busy -= 1
+        observation = WRONG if sick and first else ANSWER
+        self._end(now, node, send.attempt, observation)
+
+
+@mark.parametrize('seed', range(40))
+def test_reads_that_meet_a_failing_target_are_repeated_elsewhere(seed):
+    # Five 500s within 0.1 s used up what an account had saved, for all of it.
+    setting = replace(SETTING, seed=seed)
+    tally = FlappingBench(setting, HealthBoard, Dispatcher).run()
+    assert not tally.refused
+
+
+@mark.parametrize('seed', range(4))
+def test_a_service_that_fails_gets_few_repeats_beyond_the_second_before(seed):
+    broken = replace(SETTING, seed=seed, broken=True)
+    tally = Bench(broken, HealthBoard, Dispatcher).run()
+    assert tally.sent - tally.arrived <= 2 * SETTING.policy.retry_burst
