Let go of an attempt at its end, not when its sign of life was due

Cause: the look for a sign was an appointment of the shared timer that nobody cancelled. Why it works: the end of the attempt, or its cut, cancels the look. Other appointments of a request, the sign that a gate sends and the deadline, were cancelled at the end already.

--- a/hillfield/proxy/attempts.py
+++ b/hillfield/proxy/attempts.py
@@ -128,6 +128,7 @@
         if self.ended:
             return
         self.ended = True
+        self.expect_nothing()
         sender = self._sender
         if self._stream is not None and sender and not sender.sent:
             # The request is not all written: what follows on this
--- a/hillfield/proxy/handover.py
+++ b/hillfield/proxy/handover.py
@@ -30,6 +30,7 @@
     Send,
     TimedOut,
 )
+from hillfield.timers import Appointment
 
 
 class Handover(AnswerReading):
@@ -50,6 +51,7 @@
         self._tools = tools
         self._stream: PromptStream | None = None
         self._sender: Sender | None = None
+        self._looking: Appointment | None = None
 
     def hand_over(self, stream: PromptStream) -> None:
         """Write the request, or as much as is safe on a doubtful connection."""
@@ -69,7 +71,7 @@
         else:
             self._note_written()
             self._write(self._sender.start)
-        expect_sign(self, self._tools, self._order)
+        self._looking = expect_sign(self, self._tools, self._order)
 
     def go_on(self) -> None:
         """Write the rest of a request: the other end has asked for it."""
@@ -88,9 +90,15 @@
     def cut(self) -> None:
         """End the attempt now; the target sees the connection close."""
         self.ended = True
+        self.expect_nothing()
         if self._stream is not None:
             self._stream.close()
 
+    def expect_nothing(self) -> None:
+        """Look for no sign of life any more."""
+        if self._looking is not None:
+            self._looking.cancel()
+
     def correct(self, observation: Observation) -> Observation:
         """Return what an end means: before all was written nothing has run."""
         doubtful = isinstance(observation, (Broken, TimedOut))
--- a/hillfield/proxy/signs.py
+++ b/hillfield/proxy/signs.py
@@ -10,7 +10,7 @@
 from hillfield.proxy.orders import Order
 from hillfield.proxy.tools import AttemptTools
 from hillfield.routing.requests import Broken, Observation, Send
-from hillfield.timers import STEP, find_timer, run_when_read
+from hillfield.timers import STEP, Appointment, find_timer, run_when_read
 
 
 class StrayNoting(Protocol):
@@ -43,20 +43,24 @@
     attempt: Attempting,
     tools: AttemptTools,
     order: Order,
-) -> None:
-    """Look for a sign of life in time, where the other end sends them."""
+) -> Appointment | None:
+    """Look for a sign of life in time, where the other end sends them.
+
+    Who ends the attempt cancels it: until then it holds all of the request.
+    """
     within = tools.settings.sign_within
-    if within:
-        looking = partial(
-            run_guarded,
-            partial(look_for_sign, attempt, tools, order),
-            attempt.owner.note_stray,
-        )
-        # Shared: most answers come before it, and need no wake-up then.
-        find_timer().after(
-            within,
-            partial(_look_in_time, monotonic() + within, looking),
-        )
+    if not within:
+        return None
+    looking = partial(
+        run_guarded,
+        partial(look_for_sign, attempt, tools, order),
+        attempt.owner.note_stray,
+    )
+    # Shared: most answers come before it, and need no wake-up then.
+    return find_timer().after(
+        within,
+        partial(_look_in_time, monotonic() + within, looking),
+    )
 
 
 def look_for_sign(
