--- a/hillfield/clocks/__init__.py
+++ b/hillfield/clocks/__init__.py
@@ -1,6 +1,5 @@
 """The clocks by which nodes decide and date."""
 
-from hillfield.clocks.clocks import monotonic, read_wall
-from hillfield.clocks.lateness import TOLERATED, Lateness
+from hillfield.clocks.clocks import TOLERATED, monotonic, read_wall
 
-__all__ = ('TOLERATED', 'Lateness', 'monotonic', 'read_wall')
+__all__ = ('TOLERATED', 'monotonic', 'read_wall')
--- a/hillfield/clocks/clocks.py
+++ b/hillfield/clocks/clocks.py
@@ -8,6 +8,8 @@
 from time import CLOCK_BOOTTIME, clock_gettime, time_ns
 from typing import Final
 
+# Seconds by which what is due may come late without anything having been missed.
+TOLERATED: Final = 0.05
 _NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
 
--- a/hillfield/detection/board.py
+++ b/hillfield/detection/board.py
@@ -6,11 +6,11 @@
 from hillfield.detection.explanations import TargetExplanation
 from hillfield.detection.health import Health
 from hillfield.detection.lateness import (
+    AttemptNotes,
     count_given_up,
     count_overdue,
     is_counted,
 )
-from hillfield.detection.noting import AttemptNotes
 from hillfield.detection.records import find_standing
 from hillfield.detection.reports import Statement
 from hillfield.detection.rotation import Rotation, build_rotation
--- a/hillfield/detection/lateness.py
+++ b/hillfield/detection/lateness.py
@@ -15,6 +15,7 @@
     judges_lateness,
 )
 from hillfield.detection.verdicts import judge
+from hillfield.model import TargetId
 
 LATENESS: Final = (Indicator.SLOW, Indicator.VERY_SLOW, Indicator.HUNG)
 # Limits passed by an attempt whose time-out says nothing new.
@@ -94,3 +95,33 @@
         return attempt.started < record.since
     # Cold targets are slow, which is no fault.
     return record.health is Health.WARMING
+
+
+class AttemptNotes:
+    """Follow the attempts of one service; times are seconds."""
+
+    def __init__(self, service: Service) -> None:
+        """Take notes for this service."""
+        self._service = service
+
+    def note_started(self, now: float, target: TargetId, attempt: int) -> None:
+        """Note that an attempt is about to be written."""
+        self._service.attempts.start(now, target, attempt)
+        self._service.demand.add()
+        record = self._service.records.get(target)
+        if record is None:
+            return
+        self._service.counted.add(target)
+        if record.health is Health.TRIAL:
+            record.trials.add(attempt)
+
+    def note_head(self, now: float, target: TargetId, attempt: int) -> None:
+        """Note that the head of the attempt's answer has come."""
+        started = self._service.attempts.take(attempt)
+        record = self._service.records.get(target)
+        if started is not None and record is not None:
+            count_head(self._service, record, started, now)
+
+    def excuse(self, now: float, seconds: float) -> None:
+        """Hold no silence of the last seconds against targets."""
+        self._service.attempts.excuse(now, seconds)
--- a/hillfield/node/lateness.py
+++ b/hillfield/node/lateness.py
@@ -1,10 +1,14 @@
-"""What a node does about its own lateness."""
+"""How long a node did not look at what had come for it, and what follows.
+
+A process that is busy, or has no processor, reads nothing meanwhile: what
+others sent lies unread, and who seems silent may have spoken.
+"""
 
 from collections.abc import Callable
 from time import process_time
 from typing import Final
 
-from hillfield.clocks import Lateness
+from hillfield.clocks import TOLERATED
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.metrics import NodeMetrics
 from hillfield.routing import DispatcherTable
@@ -17,6 +21,31 @@
 LatenessListener = Callable[[float, float], None]
 
 
+class Lateness:
+    """Follow looks that are due each `period` seconds, or more often.
+
+    >>> lateness = Lateness(0.1)
+    >>> lateness.look(5.0), lateness.look(5.1), lateness.look(5.12)
+    (0.0, 0.0, 0.0)
+    >>> round(lateness.look(6.02), 3)
+    0.8
+    """
+
+    def __init__(self, period: float) -> None:
+        """Start without a look."""
+        self._period = period
+        self._looked: float | None = None
+
+    def look(self, now: float) -> float:
+        """Return by how many seconds this look is late; 0: it is in time."""
+        looked = self._looked
+        self._looked = now
+        if looked is None:
+            return float()
+        late = now - looked - self._period
+        return late if late > TOLERATED else float()
+
+
 class LoopWatch:
     """Notice when the node's loop was late, and tell it before it judges.
 
--- a/hillfield/proxy/server.py
+++ b/hillfield/proxy/server.py
@@ -7,9 +7,9 @@
 
 from hillfield.events import Journal
 from hillfield.model import TargetId
-from hillfield.proxy.accepting import Acceptor
 from hillfield.proxy.connections import CallerConnections
 from hillfield.proxy.context import ProxyContext
+from hillfield.proxy.intake import Acceptor
 from hillfield.proxy.meters import NoMeter, RequestMeter
 from hillfield.proxy.ports import CrashGuard, NoGuard, PlanSource
 from hillfield.proxy.settings import ProxySettings
--- a/hillfield/proxy/tests/test_intake.py
+++ b/hillfield/proxy/tests/test_intake.py
@@ -4,7 +4,6 @@
 import socket
 
 from hillfield.clocks import monotonic
-from hillfield.proxy.accepting import TAKEN_AT_ONCE as ACCEPTED_AT_ONCE
 from hillfield.proxy.intake import TAKEN_AT_ONCE, Intake
 
 GET = b'GET / HTTP/1.1\r\nHost: t\r\nX-Deadline-Ms: 5000\r\n\r\n'
@@ -80,7 +79,7 @@
         await asyncio.sleep(0)
         count = path.server.count_connections()
         most = max(most, count - before)
-    assert most <= ACCEPTED_AT_ONCE
+    assert most <= TAKEN_AT_ONCE
     for link in links:
         link.close()
 
