--- a/hillfield/fleet/peering/upkeep.py
+++ b/hillfield/fleet/peering/upkeep.py
@@ -26,8 +26,9 @@
 def note_pause(core: Core, now: float) -> None:
     """Forgive the neighbours the silence of our own pause, and ask anew.
 
-    What they said in it lies unread, also where it was a short one. Only the end that dialled a link asks: one that is accepted at both ends
-    would be nobody's to close.
+    What they said in it lies unread, also where it was a short one. Only the
+    end that dialled a link asks: one that is accepted at both ends would be
+    nobody's to close.
     """
     gap = now - core.clock.ticked
     core.clock.ticked = now
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -78,9 +78,9 @@
     `retry_burst` and `shed_burst` how many retries of each kind one node may
     have saved up, `shed_cost` what a retry after the shed answer costs,
     `retry_saving` the seconds of answered requests whose retries may be saved
-    up where that is more, `patience` the seconds that requests wait for a first target. Without a
-    `hedge_budget` hedges draw on that of the retries, to which `retry_rate`
-    adds so many a second.
+    up where that is more, `patience` the seconds that requests wait for a
+    first target. Without a `hedge_budget` hedges draw on that of the retries,
+    to which `retry_rate` adds so many a second.
     """
 
     service: str
