--- a/hillfield/proxy/tests/test_intake.py
+++ b/hillfield/proxy/tests/test_intake.py
@@ -67,11 +67,7 @@
 async def test_connections_are_accepted_a_few_in_each_pass(path):
     # A pass that accepted 128 of them read no answer meanwhile.
     await path.start()
-    address = path.server.address
-    links = [
-        socket.create_connection((address.ip, address.port))
-        for _ in range(CROWD)
-    ]
+    links = connect_crowd(path.server.address)
     most = 0
     count = 0
     while count < CROWD:
@@ -86,14 +82,16 @@
 
 async def test_what_waits_to_be_accepted_is_served_before_a_node_stops(path):
     await path.start()
-    address = path.server.address
-    links = [
-        socket.create_connection((address.ip, address.port))
-        for _ in range(CROWD)
-    ]
+    links = connect_crowd(path.server.address)
     for link in links:
         link.sendall(GET)
     await path.server.drain()
     assert all(link.recv(99).startswith(b'HTTP/1.1 200') for link in links)
     for done in links:
         done.close()
+
+
+def connect_crowd(address):
+    """Open connections that wait to be accepted."""
+    place = (address.ip, address.port)
+    return [socket.create_connection(place) for _ in range(CROWD)]
