--- a/hillfield/proxy/tests/test_late_loop.py
+++ b/hillfield/proxy/tests/test_late_loop.py
@@ -49,7 +49,7 @@
 
 
 def test_a_connection_made_while_the_loop_was_late_is_used():
-    # Its target was suspected: no connection could be had in time.
+    # A wait for a connection ends by a look at what has come, not by the clock.
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         opened = runner.run(connect_late())
     assert opened.is_ok(), opened
