Say by which way an entry of the configuration came to a node

Logs told when a node had adopted a version and not from whom: whether a watch had heard it, only a reading had found it, or which neighbour had sent it. So a change that nobody read in time looked like one that was read and did not come. One line a change and node (4018).

No logic is changed; tests of fleet, events and configuration pass.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -83,6 +83,7 @@
     RELAY_STORE_FAILED = 4015
     STORE_BEHIND = 4016
     LINK_FAILED = 4017
+    ENTRY_CAME = 4018
     CONFIGURATION_ADOPTED = 5001
     CONFIGURATION_REFUSED = 5002
     PARAMETER_CLAMPED = 5003
@@ -185,6 +186,7 @@
         EventCode.RELAY_STORE_FAILED: 'warning',
         EventCode.STORE_BEHIND: 'error',
         EventCode.LINK_FAILED: 'error',
+        EventCode.ENTRY_CAME: 'info',
         EventCode.CONFIGURATION_ADOPTED: 'info',
         EventCode.CONFIGURATION_REFUSED: 'error',
         EventCode.PARAMETER_CLAMPED: 'warning',
--- a/hillfield/fleet/feeding.py
+++ b/hillfield/fleet/feeding.py
@@ -3,14 +3,16 @@
 from hillfield.configuration.entries import Entry
 from hillfield.events import EventCode
 from hillfield.fleet.state import FleetState
+from hillfield.fleet.ways import Way
 from hillfield.store.paging import Snapshot
 from hillfield.store.ports import StoredValue
 
 
-def feed_value(state: FleetState, stored: StoredValue) -> bool:
+def feed_value(state: FleetState, stored: StoredValue, way: Way) -> bool:
     """Submit one stored value; False when it is no news."""
     return state.submit(
         Entry(stored.key, stored.revision, stored.payload),
+        way,
     )
 
 
@@ -35,9 +37,9 @@
         )
     present = {stored.key for stored in snapshot.entries}
     for stored in snapshot.entries:
-        feed_value(state, stored)
+        feed_value(state, stored, Way.READING)
     for key in core.ledger.keys_under(prefix):
         if key not in present:
             # A key that was written after the snapshot has a higher
             # revision, which refuses this deletion.
-            state.submit(Entry(key, snapshot.revision, b''))
+            state.submit(Entry(key, snapshot.revision, b''), Way.READING)
--- a/hillfield/fleet/feeds.py
+++ b/hillfield/fleet/feeds.py
@@ -10,6 +10,7 @@
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.feeding import feed_snapshot, feed_value
 from hillfield.fleet.service import Fleet
+from hillfield.fleet.ways import Way
 from hillfield.store.following import FollowSettings, Followed, Follower
 from hillfield.store.paging import Snapshot, Span, read_span
 from hillfield.store.ports import Store, StoreError, StoredValue
@@ -88,7 +89,7 @@
                 feed_snapshot(state, prefix, followed, known)
                 self._loaded.add(prefix)
             case StoredValue():
-                feed_value(state, followed)
+                feed_value(state, followed, Way.WATCH)
             case StoreError():
                 self.note_error(followed)
 
--- a/hillfield/fleet/replication/entry_spreading.py
+++ b/hillfield/fleet/replication/entry_spreading.py
@@ -5,11 +5,13 @@
 from typing import Final
 
 from hillfield.configuration.entries import Entry
+from hillfield.events import EventCode
 from hillfield.fleet.core import Core, Subject
 from hillfield.fleet.handling import Source, react
 from hillfield.fleet.messages import Entries, Have, Version, Want
 from hillfield.fleet.peering.distance import is_dear
 from hillfield.fleet.peering.link_table import Link
+from hillfield.fleet.ways import Way
 from hillfield.model import Address
 
 # Seconds that an entry offered by another failure domain is left to the
@@ -17,11 +19,21 @@
 DEAR_WAIT: Final = 0.25
 
 
-def adopt(core: Core, entry: Entry, source: Link | None) -> bool:
+def adopt(
+    core: Core,
+    entry: Entry,
+    source: Link | None,
+    way: Way = Way.NEIGHBOUR,
+) -> bool:
     """Adopt an entry and announce it; an older one is refused."""
     if not core.ledger.adopt(entry):
         core.count('entry-not-adopted')
         return False
+    core.report(
+        EventCode.ENTRY_CAME,
+        peer='' if source is None else source.name,
+        detail=f'{entry.key} at revision {entry.revision} by {way.value}',
+    )
     version = Version(entry.key, 0, entry.revision)
     for link in core.links:
         if link.up and link is not source:
--- a/hillfield/fleet/state.py
+++ b/hillfield/fleet/state.py
@@ -16,6 +16,7 @@
 from hillfield.fleet.replication import entry_spreading
 from hillfield.fleet.replication.ledger import EntryStore
 from hillfield.fleet.settings import FleetSettings
+from hillfield.fleet.ways import Way
 from hillfield.model import Address, Target
 
 
@@ -58,9 +59,9 @@
         """Set what this node tells others of targets; empty ends it."""
         self._publisher.take_evidence(now, evidence)
 
-    def submit(self, entry: Entry) -> bool:
-        """Adopt an entry from the store and spread it; False: not newer."""
-        return entry_spreading.adopt(self.core, entry, None)
+    def submit(self, entry: Entry, way: Way = Way.WRITE) -> bool:
+        """Adopt an entry of the store and spread it; False: not newer."""
+        return entry_spreading.adopt(self.core, entry, None, way)
 
     def note_loaded(self) -> None:
         """Note that all entries of the store have been submitted."""
