Bound the age of what each node knows of the store, not the chance of a reading

What callers saw: a limit that was confirmed 2.587 s before was not in force at the node that took their request.

Nothing measured how old a node's knowledge of the store was.

Heartbeats say when the store was last read and found to hold no more, and a reading is told on at once, in place of the heartbeat that was due. Followers read when that is 0.5 s old, each 0.15 s after the one before it; any node reads at 1.2 s. A follower that is refused, hangs, is killed or cut off needs no notice: the next reads. Three neighbours that read in vain mean that the store is away.

The reading of a node without a sign of neighbours for 0.8 s stays, and repeats each second instead of ever less often while it succeeds.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -84,6 +84,7 @@
     STORE_BEHIND = 4016
     LINK_FAILED = 4017
     ENTRY_CAME = 4018
+    STORE_NOT_FOLLOWED = 4019
     CONFIGURATION_ADOPTED = 5001
     CONFIGURATION_REFUSED = 5002
     PARAMETER_CLAMPED = 5003
@@ -187,6 +188,7 @@
         EventCode.STORE_BEHIND: 'error',
         EventCode.LINK_FAILED: 'error',
         EventCode.ENTRY_CAME: 'info',
+        EventCode.STORE_NOT_FOLLOWED: 'info',
         EventCode.CONFIGURATION_ADOPTED: 'info',
         EventCode.CONFIGURATION_REFUSED: 'error',
         EventCode.PARAMETER_CLAMPED: 'warning',
--- a/hillfield/fleet/core.py
+++ b/hillfield/fleet/core.py
@@ -1,7 +1,7 @@
 """The parts of a node's fleet state, shared by the code that handles it."""
 
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 from math import inf
 
 from hillfield.events import EventCode, Occurrence
@@ -18,6 +18,15 @@
 from hillfield.model import Address
 
 
+class Way(StrEnum):
+    """Name by which way an entry came to this node."""
+
+    WRITE = 'its own write'
+    WATCH = 'a watch'
+    READING = 'a reading'
+    NEIGHBOUR = 'a neighbour'
+
+
 class Subject(IntEnum):
     """Name what a hash or a list of versions is about."""
 
@@ -30,7 +39,8 @@
     """Hold what this node says of itself.
 
     `pause` is how many seconds after its record was published it may be
-    published anew.
+    published anew; `confirmed` when its entries were last known to be all
+    that the store holds, `in_vain` that reading it has failed since.
     """
 
     record: NodeRecord
@@ -41,6 +51,8 @@
     taken: float = -inf
     loaded: bool = False
     ready: bool = False
+    confirmed: float = -inf
+    in_vain: bool = False
 
 
 @dataclass(slots=True)
@@ -55,6 +67,7 @@
     sought: float = -inf
     waited: float = -inf
     compared: float = -inf
+    told: float = -inf
 
     def note_started(self, now: float) -> None:
         """Take the first tick as the start."""
--- a/hillfield/fleet/effects.py
+++ b/hillfield/fleet/effects.py
@@ -18,6 +18,15 @@
     """Note that time has passed; due each 0.1 s or less."""
 
 
+class StoreRead(Struct, frozen=True):
+    """Note when this node asked for all of the store that it now holds.
+
+    `asked` is in monotonic seconds; None: it asked in vain.
+    """
+
+    asked: float | None
+
+
 class SendTo(Struct, frozen=True):
     """Ask for a message to be sent over a link."""
 
@@ -43,5 +52,5 @@
     occurrence: Occurrence
 
 
-Event = Received | Refused | Ticked
+Event = Received | Refused | StoreRead | Ticked
 Effect = SendTo | Dial | HangUp | Report
--- a/hillfield/fleet/feeding.py
+++ b/hillfield/fleet/feeding.py
@@ -3,7 +3,7 @@
 from hillfield.configuration.entries import Entry
 from hillfield.events import EventCode
 from hillfield.fleet.state import FleetState
-from hillfield.fleet.ways import Way
+from hillfield.fleet.core import Way
 from hillfield.store.paging import Snapshot
 from hillfield.store.ports import StoredValue
 
--- a/hillfield/fleet/feeds.py
+++ b/hillfield/fleet/feeds.py
@@ -1,6 +1,6 @@
 """Feed the fleet with all that the store holds under some prefixes."""
 
-from asyncio import TaskGroup, gather, sleep
+from asyncio import TaskGroup, gather
 from random import Random
 from typing import Final
 
@@ -8,29 +8,28 @@
 
 from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
+from hillfield.fleet.effects import StoreRead
 from hillfield.fleet.feeding import feed_snapshot, feed_value
 from hillfield.fleet.service import Fleet
-from hillfield.fleet.ways import Way
+from hillfield.fleet.core import Way
 from hillfield.store.following import FollowSettings, Followed, Follower
 from hillfield.store.paging import Snapshot, Span, read_span
 from hillfield.store.ports import Store, StoreError, StoredValue
 
 REPORT_AGAIN: Final = 10.0
-# The least part of the time between two checks, so that followers spread.
-SHORTEST_CHECK: Final = 0.6
 PAGE: Final = 256
 
 
 class FeedSettings(Struct, frozen=True):
     """Say what the store's keys start with, and how they are followed.
 
-    All is read anew each `check` seconds (0: never), since a watch may hear
-    nothing of a change and look well.
+    A watch may hear nothing of a change and look well: `fresh` is for how
+    many seconds a reading tells what the store holds.
     """
 
     prefixes: tuple[str, ...]
     following: FollowSettings = FollowSettings()
-    check: float = 0
+    fresh: float = 0
 
 
 class StoreFeed:
@@ -58,14 +57,14 @@
         async with TaskGroup() as group:
             for prefix in self._settings.prefixes:
                 group.create_task(self._follow(prefix))
-                if self._settings.check:
-                    group.create_task(self._check(prefix))
 
     async def load(self) -> bool:
         """Read all prefixes once; tell whether all could be read."""
+        asked = monotonic()
         loaded = await gather(*map(self._read, self._settings.prefixes))
         if all(loaded):
             self._fleet.state.note_loaded()
+        self._fleet.take(StoreRead(asked if all(loaded) else None))
         return all(loaded)
 
     def note_error(self, error: StoreError) -> None:
@@ -100,12 +99,6 @@
         self._take(prefix, read.error if read.is_error() else read.ok, known)
         return read.is_ok()
 
-    async def _check(self, prefix: str) -> None:
-        while True:
-            share = self._random.uniform(SHORTEST_CHECK, 1)
-            await sleep(self._settings.check * share)
-            await self._read(prefix)
-
     async def _follow(self, prefix: str) -> None:
         follower = Follower(
             self._store,
--- a/hillfield/fleet/handling.py
+++ b/hillfield/fleet/handling.py
@@ -9,9 +9,9 @@
 from hillfield.events import EventCode
 from hillfield.fleet.core import Core
 from hillfield.fleet.envelope import Received, Refusal
+from hillfield.fleet.heartbeats import heartbeat_of, hello_of
 from hillfield.fleet.messages import (
     Goodbye,
-    Heartbeat,
     Hello,
     Referral,
     Statements,
@@ -58,20 +58,6 @@
     react(received.message, core, source)
 
 
-def heartbeat_of(core: Core) -> Heartbeat:
-    """Return the heartbeat that sums up what this node knows."""
-    return Heartbeat(
-        core.book.summary.total,
-        core.ledger.summary.total,
-        core.own.ready,
-    )
-
-
-def hello_of(core: Core, asks: bool) -> Hello:
-    """Return the message that opens a link."""
-    return Hello(core.settings.link, core.settings.locality, asks)
-
-
 @react.register
 def _(message: Hello, core: Core, source: Source) -> None:
     link = core.links.at(message.link)
@@ -92,7 +78,7 @@
     if message.asks:
         core.outbox.send(link.address, hello_of(core, asks=False))
     if not link.up:
-        core.outbox.send(link.address, heartbeat_of(core))
+        core.outbox.send(link.address, heartbeat_of(core, source.now))
 
 
 @react.register
@@ -125,7 +111,7 @@
     if link.streak >= STREAK and not link.up:
         link.up = True
         core.report(EventCode.NEIGHBOUR_HEARD, peer=link.name)
-        core.outbox.send(link.address, heartbeat_of(core))
+        core.outbox.send(link.address, heartbeat_of(core, source.now))
 
 
 def _refer(core: Core, asker: Address) -> None:
--- /dev/null
+++ b/hillfield/fleet/heartbeats.py
@@ -0,0 +1,96 @@
+"""What nodes tell their neighbours at times, and what it tells of the store.
+
+A neighbour's sign of life says nothing of the store: it may hear as little of
+it as this node. So heartbeats tell when somebody last read the store, and a
+reading is told on at once, as a wave of heartbeats: each node then knows how
+long ago what it holds was known to be all that the store holds.
+"""
+
+from math import inf
+from typing import Final
+
+from hillfield.fleet.core import Core
+from hillfield.fleet.messages import Heartbeat, Hello
+from hillfield.fleet.peering.link_table import Link
+from hillfield.fleet.replication.ledger import EntryLedger
+
+# Seconds by which a reading is later than the one told of last, to be told at
+# once: one reading comes by several neighbours, a few ms apart.
+NEWS: Final = 0.25
+MILLISECONDS: Final = 1000
+
+
+def heartbeat_of(core: Core, now: float) -> Heartbeat:
+    """Return the heartbeat that sums up what this node knows."""
+    own = core.own
+    age = None if own.confirmed == -inf else now - own.confirmed
+    return Heartbeat(
+        core.book.summary.total,
+        core.ledger.summary.total,
+        own.ready,
+        core.ledger.newest,
+        None if age is None else round(age * MILLISECONDS),
+        own.in_vain,
+    )
+
+
+def send_heartbeats(core: Core, now: float) -> None:
+    """Send a heartbeat over each link, or a hello where none was heard."""
+    core.clock.beat = now
+    core.clock.told = core.own.confirmed
+    heartbeat = heartbeat_of(core, now)
+    for link in core.links:
+        if link.up:
+            core.outbox.send(link.address, heartbeat)
+        else:
+            hello = hello_of(core, asks=link.dialled)
+            core.outbox.send(link.address, hello)
+
+
+def hello_of(core: Core, asks: bool) -> Hello:
+    """Return the message that opens a link."""
+    return Hello(core.settings.link, core.settings.locality, asks)
+
+
+def find_age(core: Core, now: float) -> float:
+    """Return the seconds since the store is known to have held no more."""
+    return now - core.own.confirmed
+
+
+def confirm(core: Core, now: float, read_at: float) -> None:
+    """Note that this node holds all that the store held at a moment."""
+    if read_at <= core.own.confirmed:
+        return
+    core.own.confirmed = read_at
+    core.own.in_vain = False
+    if read_at - core.clock.told >= NEWS:
+        send_heartbeats(core, now)
+
+
+def take_confirmation(
+    core: Core,
+    now: float,
+    link: Link,
+    message: Heartbeat,
+) -> None:
+    """Take what a neighbour tells of the store, now or once it is held."""
+    link.in_vain = message.in_vain
+    if message.age is None or message.age < 0:
+        return
+    link.confirmed = now - message.age / MILLISECONDS
+    link.entries = message.entries
+    link.newest = message.newest
+    confirm_by(core, now, link)
+
+
+def confirm_by(core: Core, now: float, link: Link) -> None:
+    """Confirm by what a neighbour told, if all that it held is held here."""
+    if _holds_all(core.ledger, link):
+        confirm(core, now, link.confirmed)
+
+
+def _holds_all(ledger: EntryLedger, link: Link) -> bool:
+    """Tell whether all that a neighbour told of is held here, or newer."""
+    if link.entries == ledger.summary.total:
+        return True
+    return len(ledger.summary) == 1 and ledger.newest > link.newest
--- a/hillfield/fleet/intake.py
+++ b/hillfield/fleet/intake.py
@@ -6,8 +6,9 @@
 
 from hillfield.events import EventCode
 from hillfield.fleet import membership
+from hillfield.fleet.heartbeats import confirm
 from hillfield.fleet.core import Core
-from hillfield.fleet.effects import Refused, Ticked
+from hillfield.fleet.effects import Refused, StoreRead, Ticked
 from hillfield.fleet.envelope import Received
 from hillfield.fleet.handling import receive
 from hillfield.fleet.peering import upkeep
@@ -43,6 +44,14 @@
         )
 
 
+@take_event.register
+def _(event: StoreRead, core: Core, now: float) -> None:
+    if event.asked is None:
+        core.own.in_vain = True
+    else:
+        confirm(core, now, event.asked)
+
+
 @take_event.register
 def _(event: Ticked, core: Core, now: float) -> None:
     core.clock.note_started(now)
--- a/hillfield/fleet/introductions.py
+++ b/hillfield/fleet/introductions.py
@@ -1,15 +1,17 @@
 """Make a node known in the store, and find its first peers there."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from random import Random
 from typing import Final
 
+from msgspec import Struct
+
 from hillfield.clocks import monotonic
 from hillfield.fleet.feeds import PAGE, StoreFeed
 from hillfield.fleet.peering.selection import rank_names
-from hillfield.fleet.registrations import Registration, read_registrations
 from hillfield.fleet.service import Fleet
 from hillfield.fleet.slots import SLOTS, prefix_of, rank_of
+from hillfield.model import Address, parse_address
 from hillfield.store.paging import Span, read_span
 from hillfield.store.ports import Accepted, Change, Conflict, Store, StoredValue
 
@@ -24,6 +26,14 @@
 ENOUGH_PEERS: Final = 3
 
 
+class Registration(Struct, frozen=True):
+    """Say where a node of a failure domain listens for links."""
+
+    domain: str
+    name: str
+    link: Address
+
+
 class Introductions:
     """Write where this node listens, and read where others do."""
 
@@ -168,3 +178,23 @@
 
 def _find_current(conflict: Conflict) -> StoredValue | None:
     return conflict.current[0] if conflict.current else None
+
+
+def read_registrations(
+    entries: tuple[StoredValue, ...],
+) -> tuple[Registration, ...]:
+    """Read what nodes wrote; what can't be read is no node of this release.
+
+    >>> entry = StoredValue('/x/relays/hall-a/n1', 1, b'10.0.0.1:7380')
+    >>> read_registrations((entry,))[0].domain
+    'hall-a'
+    """
+    return tuple(_read_all(entries))
+
+
+def _read_all(entries: tuple[StoredValue, ...]) -> Iterator[Registration]:
+    for stored in entries:
+        path, _, name = stored.key.rpartition('/')
+        address = parse_address(stored.payload.decode('utf-8', 'replace'))
+        if address.is_ok():
+            yield Registration(path.rpartition('/')[-1], name, address.ok)
--- a/hillfield/fleet/messages.py
+++ b/hillfield/fleet/messages.py
@@ -1,7 +1,8 @@
 """Messages between nodes; all that crosses a link is one of these.
 
 Each is a frozen data class of msgspec, coded by position. The protocol's
-version stands in the envelope: a change of a message here raises it.
+version stands in the envelope: a change of a message here raises it, unless it
+only adds fields with defaults at the end, which earlier nodes leave unread.
 """
 
 from msgspec import Struct
@@ -25,11 +26,19 @@
 
 
 class Heartbeat(Struct, frozen=True, array_like=True, tag=3):
-    """Say that the sender lives, and sum up what it knows in two hashes."""
+    """Say that the sender lives, and sum up what it knows in two hashes.
+
+    `newest` is the newest revision of its entries; `age` is how many
+    milliseconds ago these were known to be all that the store holds (None:
+    not known), `in_vain` that it has tried since to read the store.
+    """
 
     statements: int
     entries: int
     ready: bool
+    newest: int = 0
+    age: int | None = None
+    in_vain: bool = False
 
 
 class Statement(Struct, frozen=True, array_like=True):
--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -13,8 +13,10 @@
 from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.backoff import Backoff
+from hillfield.fleet.heartbeats import find_age
 from hillfield.fleet.core import Core
 from hillfield.fleet.feeds import FeedSettings, StoreFeed
+from hillfield.fleet.reading import is_due
 from hillfield.fleet.records import NodeRecord
 from hillfield.fleet.service import Fleet
 from hillfield.fleet.introductions import Introductions
@@ -33,15 +35,14 @@
 # doubles up to the longest.
 SEEK_AGAIN: Final = 2.0
 SEEK_LIMIT: Final = 30.0
-# Seconds without a sign of any neighbour after which a node reads the
-# configuration itself, and between two such readings; heartbeats come each
-# 0.5 s.
-SILENCE: Final = 0.8
-READ_AGAIN: Final = 1.0
-# Seconds between two readings by one follower, at the most. Six followers of
-# three failure domains leave gaps of half a second on average; a change that
-# no watch hears is to be in force within two.
-CHECK: Final = 4.0
+# Seconds between looks at whether to read the store, by followers and others.
+FOLLOWER_LOOK: Final = 0.1
+READING_LOOK: Final = 0.2
+# Seconds after which a reading that failed is repeated; it doubles up to the
+# longest, which followers keep within the time until a change is in force.
+READ_AGAIN: Final = 0.5
+FOLLOWER_LIMIT: Final = 2.0
+READ_LIMIT: Final = 30.0
 # The first calls of a node are repeated soon: nothing is served without.
 FIRST_WAIT: Final = 0.3
 LONGEST_WAIT: Final = 2.0
@@ -67,7 +68,9 @@
         self._random = random
         self._journal = journal
         self._circuit = Circuit(RETRIES, random)
+        self._loaded = asyncio.Event()
         self._met = asyncio.Event()
+        self._fresh = settings.fresh
         self._crossing = Backoff(SEEK_AGAIN, SEEK_LIMIT)
         self._feed = StoreFeed(
             fleet,
@@ -87,27 +90,50 @@
         """Load the configuration, meet peers, take turns; until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._start())
+            group.create_task(self._keep_fresh())
             group.create_task(self._take_turns())
 
     async def _start(self) -> None:
         await self._insist(self._feed.load)
+        self._loaded.set()
         await self._insist(self._introductions.introduce)
         self._met.set()
         await self._keep_in_touch()
 
     async def _keep_in_touch(self) -> None:
-        """Turn to the store while no neighbour is heard."""
+        """Look for peers in the store while no neighbour is heard."""
         seeking = Backoff(SEEK_AGAIN, SEEK_LIMIT)
-        reading = Backoff(READ_AGAIN, SEEK_LIMIT)
         while True:
             await find_timer().pause(LOOK_AGAIN)
+            heard = self._fleet.state.core.heard_links()
+            if seeking.is_due(monotonic(), well=bool(heard)):
+                await self._introductions.meet()
+
+    async def _keep_fresh(self) -> None:
+        """Read the store when what is known of it gets too old."""
+        await self._loaded.wait()
+        following = Backoff(READ_AGAIN, FOLLOWER_LIMIT)
+        reading = Backoff(READ_AGAIN, READ_LIMIT)
+        while True:
             core = self._fleet.state.core
+            follows = bool(core.own.record.relay_of)
+            pause = following if follows else reading
+            await find_timer().pause(FOLLOWER_LOOK if follows else READING_LOOK)
             now = monotonic()
-            if seeking.is_due(now, well=bool(core.heard_links())):
-                await self._introductions.meet()
-            if reading.is_due(now, well=not is_cut_off(core, now)):
-                # What neighbours would tell may have changed meanwhile.
-                await self._feed.load()
+            if pause.is_due(now, well=not is_due(core, now, self._fresh)):
+                await self._read()
+
+    async def _read(self) -> None:
+        """Read the store, and say so where no follower has."""
+        core = self._fleet.state.core
+        if not core.own.record.relay_of:
+            age = find_age(core, monotonic())
+            heard = len(core.heard_links())
+            detail = f'{age:.1f} s old, {heard} neighbours heard'
+            self._journal.record(
+                Occurrence(EventCode.STORE_NOT_FOLLOWED, detail=detail),
+            )
+        await self._feed.load()
 
     async def _insist(self, step: Step) -> None:
         """Take a step again and again until it succeeds."""
@@ -163,12 +189,6 @@
         )
 
 
-def is_cut_off(core: Core, now: float) -> bool:
-    """Tell whether no neighbour has given a sign of late."""
-    signs = [link.last_sign for link in core.heard_links()]
-    return now - max(signs, default=0) > SILENCE
-
-
 def hears_far(core: Core) -> bool:
     """Tell whether a peer of another failure domain is heard."""
     home = core.settings.locality.failure_domain
--- a/hillfield/fleet/peering/link_table.py
+++ b/hillfield/fleet/peering/link_table.py
@@ -14,7 +14,9 @@
     `heard` is when its peer was heard last, `streak` how many messages came
     since it was last thought silent, `up` whether it is heard, `differences`
     for how many heartbeats in a row its hash of a subject has differed from
-    ours.
+    ours. `confirmed` is when `entries`, a hash, with `newest` as the newest
+    revision were all that the store held, `in_vain` whether the peer has
+    tried in vain to read it since.
     """
 
     address: Address
@@ -30,6 +32,10 @@
     synced: bool = False
     differences: list[int] = field(default_factory=lambda: [0, 0])
     repaired: float = -inf
+    confirmed: float = -inf
+    entries: int = 0
+    newest: int = 0
+    in_vain: bool = False
 
     def excuse(self, now: float, seconds: float) -> None:
         """Hold no silence of the last seconds against the peer."""
--- a/hillfield/fleet/peering/upkeep.py
+++ b/hillfield/fleet/peering/upkeep.py
@@ -7,7 +7,7 @@
 from hillfield.clocks import TOLERATED
 from hillfield.events import EventCode
 from hillfield.fleet.core import Core
-from hillfield.fleet.handling import heartbeat_of, hello_of
+from hillfield.fleet.heartbeats import hello_of, send_heartbeats
 from hillfield.fleet.messages import Goodbye
 from hillfield.fleet.peering.link_table import Link
 from hillfield.fleet.peering.selection import Circle, choose
@@ -45,17 +45,9 @@
 
 
 def beat(core: Core, now: float) -> None:
-    """Send a heartbeat over each link, or a hello where none was heard."""
-    if now - core.clock.beat < core.settings.heartbeat:
-        return
-    core.clock.beat = now
-    heartbeat = heartbeat_of(core)
-    for link in core.links:
-        if link.up:
-            core.outbox.send(link.address, heartbeat)
-        else:
-            hello = hello_of(core, asks=link.dialled)
-            core.outbox.send(link.address, hello)
+    """Send heartbeats if it is time to."""
+    if now - core.clock.beat >= core.settings.heartbeat:
+        send_heartbeats(core, now)
 
 
 def note_silence(core: Core, now: float) -> None:
--- /dev/null
+++ b/hillfield/fleet/reading.py
@@ -0,0 +1,87 @@
+"""Whose turn it is to read the store; time is a value.
+
+Each node that can reach the store has to hold what it holds, whoever else is
+away. So what a node knows of the store may only get so old, wherever it has
+that from, and then it reads the store itself: followers soon, one after
+another, and all others if none of them did.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+from hillfield.fleet.audience import list_others
+from hillfield.fleet.heartbeats import find_age
+from hillfield.fleet.core import Core
+from hillfield.fleet.peering.link_table import Link
+from hillfield.fleet.records import NodeRecord
+from hillfield.fleet.replication.summary import hash_of
+
+# Seconds after which what is known of the store is too old for any node. With
+# those until it has looked, read and told it stays within the two seconds in
+# which a change is to be in force.
+TOO_OLD: Final = 1.2
+# Seconds by which a follower lets the one before it go first.
+TURN: Final = 0.15
+# Seconds between two readings by one who is the only follower in reach.
+ALONE: Final = 1.0
+# Seconds without a sign of any neighbour after which a node is cut off.
+SILENCE: Final = 0.8
+# Neighbours that read in vain of late, from which a node that is no follower
+# takes it that the store is away for all.
+AWAY_FOR_ALL: Final = 3
+
+
+def is_due(core: Core, now: float, fresh: float) -> bool:
+    """Tell whether to read now, where a reading is good for `fresh` seconds."""
+    age = find_age(core, now)
+    if core.own.record.relay_of:
+        return age >= find_patience(core, now, fresh)
+    if age < _find_limit(core, now):
+        return False
+    return not defers(core, now)
+
+
+def find_patience(core: Core, now: float, fresh: float) -> float:
+    """Return how old a follower lets what it knows of the store get."""
+    own = core.own.record
+    followers = sorted(_list_followers(core), key=_rank_follower)
+    patience = fresh + TURN * followers.index(own)
+    if len(followers) == 1:
+        patience = ALONE
+    return min(patience, _find_limit(core, now))
+
+
+def defers(core: Core, now: float) -> bool:
+    """Tell whether a node leaves it to neighbours whose knowledge is as old."""
+    rivals = [link for link in core.heard_links() if _is_rival(link, now)]
+    if sum(link.in_vain for link in rivals) >= AWAY_FOR_ALL:
+        return True
+    names = [link.name for link in rivals if not link.in_vain]
+    own = core.own.record.name
+    return min((own, *names), key=hash_of) != own
+
+
+def is_cut_off(core: Core, now: float) -> bool:
+    """Tell whether no neighbour has given a sign of late."""
+    signs = [link.last_sign for link in core.heard_links()]
+    return now - max(signs, default=0) > SILENCE
+
+
+def _find_limit(core: Core, now: float) -> float:
+    return SILENCE if is_cut_off(core, now) else TOO_OLD
+
+
+def _is_rival(link: Link, now: float) -> bool:
+    lives = now - link.heard <= SILENCE
+    return lives and now - link.confirmed >= TOO_OLD
+
+
+def _list_followers(core: Core) -> Iterator[NodeRecord]:
+    yield core.own.record
+    yield from (record for record in list_others(core) if record.relay_of)
+
+
+def _rank_follower(record: NodeRecord) -> tuple[str, str, str]:
+    """Put followers of one failure domain far apart."""
+    domain, _, number = record.relay_of.rpartition('/')
+    return number, domain, record.name
--- a/hillfield/fleet/replication/anti_entropy.py
+++ b/hillfield/fleet/replication/anti_entropy.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from hillfield.configuration.entries import Entry
+from hillfield.fleet.heartbeats import take_confirmation
 from hillfield.fleet.core import Core, Subject
 from hillfield.fleet.handling import Source, react
 from hillfield.fleet.messages import (
@@ -42,6 +43,7 @@
     if link is None:
         return
     link.ready = message.ready
+    take_confirmation(core, source.now, link, message)
     for subject, theirs in _subjects_of(message):
         if theirs == core.summary_of(subject).total:
             link.differences[subject] = 0
--- a/hillfield/fleet/replication/entry_spreading.py
+++ b/hillfield/fleet/replication/entry_spreading.py
@@ -6,12 +6,12 @@
 
 from hillfield.configuration.entries import Entry
 from hillfield.events import EventCode
-from hillfield.fleet.core import Core, Subject
+from hillfield.fleet.heartbeats import confirm_by
+from hillfield.fleet.core import Core, Subject, Way
 from hillfield.fleet.handling import Source, react
 from hillfield.fleet.messages import Entries, Have, Version, Want
 from hillfield.fleet.peering.distance import is_dear
 from hillfield.fleet.peering.link_table import Link
-from hillfield.fleet.ways import Way
 from hillfield.model import Address
 
 # Seconds that an entry offered by another failure domain is left to the
@@ -79,3 +79,5 @@
 def _(message: Entries, core: Core, source: Source) -> None:
     for entry in message.entries:
         adopt(core, entry, source.link)
+    for link in core.links:
+        confirm_by(core, source.now, link)
--- a/hillfield/fleet/replication/ledger.py
+++ b/hillfield/fleet/replication/ledger.py
@@ -58,6 +58,7 @@
         """
         self._pull_again = pull_again
         self.summary = Summary()
+        self.newest = 0
         self._store = store
         self._missing: dict[str, Missing] = {}
         self._adopted: list[Entry] = []
@@ -105,6 +106,7 @@
             self._missing.pop(entry.key, None)
             return False
         self.summary.put(Version(entry.key, 0, entry.revision))
+        self.newest = max(self.newest, entry.revision)
         self._adopted.append(entry)
         missing = self._missing.get(entry.key)
         if missing and missing.version.version <= entry.revision:
--- a/hillfield/fleet/service.py
+++ b/hillfield/fleet/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import singledispatchmethod
 from typing import Final
 
 from expression import Result
@@ -12,10 +13,18 @@
 from hillfield.configuration.entries import Entry
 from hillfield.detection.evidence import Evidence
 from hillfield.events import EventCode, Journal, Occurrence
-from hillfield.fleet.effects import Effect, Event, Refused, Ticked
+from hillfield.fleet.effects import (
+    Dial,
+    Effect,
+    Event,
+    HangUp,
+    Refused,
+    Report,
+    SendTo,
+    Ticked,
+)
 from hillfield.fleet.envelope import Codec, StampSource
 from hillfield.fleet.findings import NodeEvidence
-from hillfield.fleet.performing import Performer
 from hillfield.fleet.replication.ledger import EntryStore
 from hillfield.fleet.settings import FleetSettings
 from hillfield.fleet.state import FleetState
@@ -34,6 +43,44 @@
     entry_adopted: Callable[[Entry], None]
 
 
+class Performer:
+    """Do effects on links and journal; `incarnation` seals the messages."""
+
+    def __init__(
+        self,
+        links: LinkLayer,
+        codec: Codec,
+        journal: Journal,
+    ) -> None:
+        """Act on these links and this journal."""
+        self.incarnation = 0
+        self._links = links
+        self._codec = codec
+        self._journal = journal
+
+    @singledispatchmethod
+    def perform(self, effect: Effect) -> None:
+        """Do one effect."""
+        raise TypeError(type(effect).__name__)
+
+    @perform.register
+    def _(self, effect: SendTo) -> None:
+        sealed = self._codec.seal(effect.message, self.incarnation)
+        self._links.send(effect.peer, sealed)
+
+    @perform.register
+    def _(self, effect: Dial) -> None:
+        self._links.dial(effect.peer)
+
+    @perform.register
+    def _(self, effect: HangUp) -> None:
+        self._links.hang_up(effect.peer)
+
+    @perform.register
+    def _(self, effect: Report) -> None:
+        self._journal.record(effect.occurrence)
+
+
 class Fleet:
     """Run one node's share of the fleet."""
 
@@ -113,19 +160,20 @@
         """Adopt an entry that the store accepted and spread it."""
         return self.state.submit(entry)
 
+    def take(self, event: Event) -> None:
+        """Take an event into the state and do what follows from it."""
+        self._perform(self.state.take(monotonic(), event))
+        self._tell()
+
     def _tick(self) -> None:
-        self._pass_in(Ticked())
+        self.take(Ticked())
 
     def _receive(self, sealed: bytes) -> None:
         match self._codec.open(sealed):
             case Result(tag='ok', ok=received):
-                self._pass_in(received)
+                self.take(received)
             case Result(tag='error', error=reason):
-                self._pass_in(Refused(reason))
-
-    def _pass_in(self, event: Event) -> None:
-        self._perform(self.state.take(monotonic(), event))
-        self._tell()
+                self.take(Refused(reason))
 
     def _perform(self, effects: tuple[Effect, ...]) -> None:
         self._performer.incarnation = self.state.core.own.incarnation
--- a/hillfield/fleet/state.py
+++ b/hillfield/fleet/state.py
@@ -16,7 +16,7 @@
 from hillfield.fleet.replication import entry_spreading
 from hillfield.fleet.replication.ledger import EntryStore
 from hillfield.fleet.settings import FleetSettings
-from hillfield.fleet.ways import Way
+from hillfield.fleet.core import Way
 from hillfield.model import Address, Target
 
 
--- /dev/null
+++ b/hillfield/fleet/tests/test_reading.py
@@ -0,0 +1,161 @@
+"""Whose turn it is to read the store, and what confirms what a node holds."""
+
+from math import isinf
+from random import Random
+
+import pytest
+
+from hillfield.configuration.entries import Entry
+from hillfield.fleet.heartbeats import find_age
+from hillfield.fleet.effects import StoreRead
+from hillfield.fleet.mesh import Mesh
+from hillfield.fleet.reading import (
+    ALONE,
+    TOO_OLD,
+    TURN,
+    defers,
+    find_patience,
+    is_due,
+)
+from hillfield.fleet.settings import FleetSettings
+from hillfield.model import Address, Locality
+
+NODES = 12
+KEY = 'routes'
+FRESH = 0.5
+# Seconds within which a change is promised to be in force.
+PROMISED = 2
+# Seconds of two steps of the mesh.
+AT_ONCE = 0.2
+
+
+def settings_of(number):
+    address = Address('127.0.0.1', 9300 + number)
+    domain = 'abc'[number % 3]
+    return FleetSettings(
+        cluster='north',
+        key=b'key',
+        name=f'node-{number}',
+        incarnation=1,
+        locality=Locality('r', domain, f'host-{number}'),
+        link=address,
+        control=address,
+        caller=address,
+        seeds=(Address('127.0.0.1', 9300),),
+        heartbeat=0.5,
+        suspect_after=1.5,
+    )
+
+
+@pytest.fixture
+def mesh():
+    mesh = Mesh(Random(4))
+    for number in range(NODES):
+        mesh.add(settings_of(number))
+    follower = find_state(mesh, 0)
+    follower.hold_slot('a/0')
+    follower.submit(Entry(KEY, 7, b'routes'))
+    follower.note_loaded()
+    mesh.run(8)
+    return mesh
+
+
+def find_state(mesh, number):
+    return mesh.states[settings_of(number).link]
+
+
+def read_store(mesh, number):
+    """Let a node read the store now, and what it tells arrive."""
+    state = find_state(mesh, number)
+    effects = state.take(mesh.now, StoreRead(mesh.now))
+    mesh.post(settings_of(number).link, effects)
+    mesh.run(0.1)
+
+
+def ages_of(mesh):
+    return [find_age(state.core, mesh.now) for state in mesh.states.values()]
+
+
+def test_one_reading_confirms_what_all_nodes_hold_at_once(mesh):
+    assert all(map(isinf, ages_of(mesh)))
+    read_store(mesh, 0)
+    assert max(ages_of(mesh)) < AT_ONCE
+
+
+def test_signs_of_life_of_neighbours_that_know_no_more_confirm_nothing(mesh):
+    read_store(mesh, 0)
+    mesh.run(5)
+    assert min(ages_of(mesh)) > 4
+    core = find_state(mesh, 5).core
+    assert core.heard_links()
+    turns = [is_due(state.core, mesh.now, FRESH) for state in list_states(mesh)]
+    assert any(turns)
+
+
+def list_states(mesh):
+    return tuple(mesh.states.values())
+
+
+def test_a_reading_confirms_nothing_at_a_node_that_lacks_what_was_read(mesh):
+    read_store(mesh, 0)
+    behind = find_state(mesh, 5)
+    others = [state for state in list_states(mesh) if state is not behind]
+    for state in others:
+        state.submit(Entry(KEY, 8, b'changed'))
+        mesh.cut.add((state.core.settings.link, behind.core.settings.link))
+    before = behind.core.own.confirmed
+    read_store(mesh, 0)
+    assert behind.core.own.confirmed == before
+    mesh.cut.clear()
+    mesh.run(2)
+    assert behind.core.ledger.revision_of(KEY) == 8
+    read_store(mesh, 0)
+    assert find_age(behind.core, mesh.now) < AT_ONCE
+
+
+def test_followers_read_one_after_another_and_none_too_late(mesh):
+    slots = ('a/0', 'b/0', 'c/0', 'a/1', 'b/1', 'c/1')
+    for number, slot in enumerate(slots):
+        find_state(mesh, number).hold_slot(slot)
+    mesh.run(3)
+    read_store(mesh, 0)
+    cores = [find_state(mesh, place).core for place in range(len(slots))]
+    waits = [find_patience(core, mesh.now, FRESH) for core in cores]
+    steps = [FRESH + TURN * place for place in range(len(slots))]
+    assert waits == [min(step, TOO_OLD) for step in steps]
+    assert max(waits) < PROMISED
+
+
+def test_a_lone_follower_reads_often_enough_by_itself(mesh):
+    core = find_state(mesh, 0).core
+    read_store(mesh, 0)
+    assert find_patience(core, mesh.now, FRESH) == ALONE
+
+
+def test_a_node_leaves_the_store_alone_once_neighbours_read_in_vain(mesh):
+    read_store(mesh, 0)
+    mesh.run(2)
+    core = max(
+        (state.core for state in list_states(mesh)),
+        key=lambda core: len(core.heard_links()),
+    )
+    rivals = core.heard_links()
+    assert len(rivals) > 2
+    for link in rivals:
+        link.in_vain = True
+    assert defers(core, mesh.now)
+    rivals[0].in_vain = False
+    for link in rivals[3:]:
+        link.in_vain = False
+        link.confirmed = mesh.now
+    rivals[0].confirmed = mesh.now
+    assert not defers(core, mesh.now)
+
+
+def test_a_node_defers_to_no_neighbour_that_may_be_gone(mesh):
+    read_store(mesh, 0)
+    mesh.run(2)
+    core = find_state(mesh, 5).core
+    for link in core.heard_links():
+        link.heard = mesh.now - 1
+    assert not defers(core, mesh.now)
--- a/hillfield/fleet/tests/test_state.py
+++ b/hillfield/fleet/tests/test_state.py
@@ -9,7 +9,7 @@
 from hillfield.fleet.effects import Dial, SendTo, Ticked
 from hillfield.fleet.mesh import Mesh
 from hillfield.fleet.messages import Statement, Statements
-from hillfield.fleet.openrelay import is_cut_off
+from hillfield.fleet.reading import is_cut_off
 from hillfield.fleet.outbox import Outbox
 from hillfield.fleet.readiness import waiting_for
 from hillfield.fleet.settings import FleetSettings
--- a/hillfield/metrics/gauges.py
+++ b/hillfield/metrics/gauges.py
@@ -23,6 +23,10 @@
     ('members', 'Nodes that are alive as seen here.'),
     ('configuration_revision', 'Newest revision in force here.'),
     ('configuration_age', 'Seconds since that revision was adopted.'),
+    (
+        'configuration_unconfirmed',
+        'Seconds since a node in reach found no other revision in the store.',
+    ),
     ('timeline_events', 'Events kept in the time line.'),
     ('connections', "Callers' open connections."),
     ('in_flight', 'Requests in flight.'),
--- a/hillfield/metrics/readings.py
+++ b/hillfield/metrics/readings.py
@@ -1,5 +1,6 @@
 """What the metrics read from the node at each scrape."""
 
+from math import nan
 from typing import Protocol
 
 from msgspec import Struct
@@ -35,7 +36,9 @@
 class NodeReading(Struct, frozen=True):
     """Hold the values that are read rather than counted.
 
-    `configuration_age` is seconds since the newest revision was adopted;
+    `configuration_age` is seconds since the newest revision was adopted,
+    `configuration_unconfirmed` since a node in reach found no other in the
+    store (NaN: not known);
     `connections` counts callers' connections, `in_flight` their requests.
     """
 
@@ -45,6 +48,7 @@
     members: int = 0
     configuration_revision: int = 0
     configuration_age: float = 0
+    configuration_unconfirmed: float = nan
     timeline_events: int = 0
     connections: int = 0
     in_flight: int = 0
--- a/hillfield/node/reading.py
+++ b/hillfield/node/reading.py
@@ -2,9 +2,12 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from math import inf, nan
 from time import time
 
 from hillfield.clocks import monotonic
+from hillfield.fleet.heartbeats import find_age
+from hillfield.fleet.core import Core
 from hillfield.metrics import (
     LimitReading,
     LinkReading,
@@ -39,6 +42,7 @@
             members=len(core.book.alive),
             configuration_revision=digest.newest,
             configuration_age=time() - self._page.adopted_at,
+            configuration_unconfirmed=find_unconfirmed(core),
             timeline_events=parts.timeline.count,
             connections=parts.proxy.count_connections(),
             in_flight=parts.proxy.count_requests(),
@@ -52,6 +56,12 @@
         return tuple(filter(None, found))
 
 
+def find_unconfirmed(core: Core) -> float:
+    """Return how old what this node knows of the store is, if it is known."""
+    age = find_age(core, monotonic())
+    return nan if age == inf else age
+
+
 def count_targets(
     explained: tuple[RoutingExplanation, ...],
 ) -> Iterator[TargetCount]:
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -4,7 +4,6 @@
 from typing import Final
 
 from hillfield.fleet.feeds import FeedSettings
-from hillfield.fleet.openrelay import CHECK
 from hillfield.gate import HopDialect, Seat, Seating
 from hillfield.holding import make_budget, make_limits, share_with_callers
 from hillfield.hostroutes import HostPlanner, PlannerSettings, make_policy
@@ -58,6 +57,9 @@
 # processes that were stopped while busy were still there after 0.5 s.
 LAST_SECONDS: Final = 0.9
 LEAST_DRAIN: Final = 1.0
+# Seconds for which a reading of the store tells what it holds: a change that no
+# watch hears is to be in force within two.
+READING_IS_GOOD: Final = 0.5
 
 
 class PlatformParts:
@@ -105,7 +107,7 @@
             relay=FeedSettings(
                 (KEY,),
                 FollowSettings(turn=TURN, retries=STORE_RETRIES),
-                CHECK,
+                READING_IS_GOOD,
             ),
             make_listeners=self.make_listeners,
         )
