Ask for a missing entry those who offered it, one after another

What callers saw: nothing by itself yet; a change comes later to a node than it needs to, where the neighbour that told of it is gone.

While an entry was being pulled from one peer, offers of the same revision by others were dropped; after 0.4 s the next of any neighbours in the order of the list was asked, also those that had never told of it.

Offers are kept in their order, nearer ones first, and asked first; after them the other neighbours. Nobody is asked twice before all were asked.

Two tests failed before (the second asked was one that had told nothing; a far offer was forgotten for a near one); fleet's tests pass.

--- a/hillfield/fleet/replication/ledger.py
+++ b/hillfield/fleet/replication/ledger.py
@@ -13,6 +13,7 @@
 
 PULL_WINDOW: Final = 32
 PULL_TRIES: Final = 6
+OFFERS_KEPT: Final = 16
 MISSING_LIMIT: Final = 8192
 
 
@@ -30,17 +31,32 @@
 
 
 class Missing(Struct, frozen=True):
-    """Hold that a peer has a newer revision of a key than we.
+    """Hold that peers have a newer revision of a key than we.
 
-    It is asked for no sooner than `earliest`, and again some time after
-    `asked`.
+    `offers` are those that told so, `tried` those that were asked: the first
+    no sooner than `earliest`, another one some time after `asked`.
     """
 
     version: Version
-    peer: Address
+    offers: tuple[Address, ...]
     earliest: float = -inf
     asked: float = -inf
-    tries: int = 0
+    tried: tuple[Address, ...] = ()
+
+    @property
+    def peer(self) -> Address:
+        """Return whom to ask, or who was asked last."""
+        return self.tried[-1] if self.tried else self.offers[0]
+
+    def add(self, peer: Address, earliest: float) -> 'Missing':
+        """Take one more offer, first if it may be taken up sooner."""
+        if earliest < self.earliest:
+            others = tuple(other for other in self.offers if other != peer)
+            offers = (peer, *others)
+            return replace(self, offers=offers, earliest=earliest)
+        if peer in self.offers:
+            return self
+        return replace(self, offers=(*self.offers, peer)[:OFFERS_KEPT])
 
     def is_due(self, now: float, pull_again: float) -> bool:
         """Tell whether it may be asked for now."""
@@ -121,20 +137,21 @@
     ) -> None:
         """Note that a peer holds a revision; it is pulled if it is newer.
 
-        An offer that may be taken up sooner stands in for one like it.
+        An offer that may be taken up sooner goes before those like it.
         """
-        known = self.revision_of(version.key)
         missing = self._missing.get(version.key)
-        if missing and missing.earliest <= earliest:
+        if missing and missing.version.version == version.version:
+            self._missing[version.key] = missing.add(peer, earliest)
+            return
+        known = self.revision_of(version.key)
+        if missing:
             known = max(known, missing.version.version)
-        elif missing:
-            known = max(known, missing.version.version - 1)
         news = version.version > known and self._store.wants(
             version.key,
             version.version,
         )
         if news and len(self._missing) < MISSING_LIMIT:
-            self._missing[version.key] = Missing(version, peer, earliest)
+            self._missing[version.key] = Missing(version, (peer,), earliest)
 
     def due(
         self,
@@ -149,7 +166,7 @@
         for key, missing in tuple(self._missing.items())[:PULL_WINDOW]:
             if not missing.is_due(now, self._pull_again):
                 continue
-            if missing.tries >= PULL_TRIES or not peers:
+            if len(missing.tried) >= PULL_TRIES or not peers:
                 self._missing.pop(key)
                 continue
             turned = self._ask(now, missing, peers)
@@ -173,12 +190,11 @@
         missing: Missing,
         peers: tuple[Address, ...],
     ) -> Missing:
-        peer = missing.peer
-        if missing.tries or peer not in peers:
-            peer = peers[missing.tries % len(peers)]
+        offers = (peer for peer in missing.offers if peer in peers)
+        turns = tuple(dict.fromkeys((*offers, *peers)))
+        untried = (peer for peer in turns if peer not in missing.tried)
         return replace(
             missing,
-            peer=peer,
             asked=now,
-            tries=missing.tries + 1,
+            tried=(*missing.tried, next(untried, turns[0])),
         )
