Ask the store once more on a new connection where a reading goes unanswered

What callers see: with two nodes, a change of the configuration is not in force after 2 s where the connections to the store have fallen silent, without a reset.

A reading takes a kept connection; if nothing comes on it any more, the reading ends after 2 s, and so does that of the next follower, whose connections have fallen silent with it. The watch hears nothing for up to 11 s.

A reading that has no answer after 0.5 s (it takes 4 ms) is asked for once more, on a connection opened for it. A store that is slow costs one call more a reading; refusals and resets are answers and are not repeated.

--- a/hillfield/platform/store.py
+++ b/hillfield/platform/store.py
@@ -34,6 +34,8 @@
 # that fell silent misses is found by reading the key anew.
 WATCH_SECONDS: Final = 10.0
 WATCH_SLACK: Final = 1.0
+# Seconds after which a reading is asked for once more: an answer takes 4 ms.
+READ_PATIENCE: Final = 0.5
 MILLISECONDS: Final = 1000
 ENDED_OR_KEPT: Final = frozenset((HTTPStatus.OK, HTTPStatus.NOT_FOUND))
 
@@ -80,7 +82,12 @@
         if stale:
             asked['serializable'] = '1'
         query = urlencode(asked)
-        call = Call(CallKind.READ_RANGE, 'GET', f'/kv-range?{query}')
+        call = Call(
+            CallKind.READ_RANGE,
+            'GET',
+            f'/kv-range?{query}',
+            patience=READ_PATIENCE,
+        )
         listing = await self._caller.ask(call, Listing)
         return listing.map(Listing.to_page)
 
--- a/hillfield/platform/tests/standin_store.py
+++ b/hillfield/platform/tests/standin_store.py
@@ -22,7 +22,7 @@
 
     `down`: calls get 503; `lossy`: writes are done and their answer is lost;
     `deaf`: nothing is answered; `muted`: watches hear of no change, and go
-    on from after it.
+    on from after it; `silent`: connections on which nothing comes any more.
     """
 
     revision: int = 0
@@ -36,6 +36,8 @@
     lossy: bool = False
     deaf: bool = False
     muted: bool = False
+    opened: set[int] = field(default_factory=set)
+    silent: set[int] = field(default_factory=set)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, key, payload, lease=0):
@@ -50,6 +52,10 @@
         }
         self._tell(self.stored[key])
 
+    def fall_silent(self):
+        """Let nothing more come on the connections that are open now."""
+        self.silent |= self.opened
+
     def delete(self, key):
         self.revision += 1
         self.stored.pop(key, None)
@@ -81,7 +87,8 @@
 
     async def prepare(self):
         self.state.calls.append(self.request.path)
-        if self.state.deaf:
+        self.state.opened.add(self._connection)
+        if self.state.deaf or self._connection in self.state.silent:
             await asyncio.sleep(3600)
         if self.state.down:
             self.set_status(503)
@@ -111,7 +118,14 @@
         self._keep(lease)
         self.state.alive.discard(lease)
 
+    @property
+    def _connection(self):
+        return id(find_stream(self.request))
+
     def _answer(self, message, status=200):
+        if self._connection in self.state.silent:
+            self._auto_finish = False
+            return
         if self.state.lossy and self.request.method != 'GET':
             find_stream(self.request).close()
             return
--- a/hillfield/platform/tests/test_in_force.py
+++ b/hillfield/platform/tests/test_in_force.py
@@ -117,3 +117,16 @@
 @mark.parametrize('gap', [0.3, 0.6])
 def test_two_nodes_that_hear_only_each_other_are_not_left_behind(tmp_path, gap):
     play(tmp_path, partial(leave_a_pair, gap=gap), ONE_SERVICE)
+
+
+async def change_amid_silence(site):
+    """Let all connections to the store fall silent for good; then change."""
+    site.store.fall_silent()
+    assert not await find_late(site, 2)
+
+
+@mark.parametrize('hosts', [2, 8])
+def test_connections_to_the_store_that_fall_silent_keep_no_change_back(
+    tmp_path, hosts
+):
+    play(tmp_path, change_amid_silence, ('refunds',) * hosts)
--- a/hillfield/store/httpcalls.py
+++ b/hillfield/store/httpcalls.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode
+from msgspec.structs import replace
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from hillfield.events import Journal
@@ -25,13 +26,19 @@
 
 
 class Call(Struct, frozen=True):
-    """Hold one call; `timeout` in seconds, 0 for that of the settings."""
+    """Hold one call; times are seconds, 0 for `timeout`: that of the settings.
+
+    What has not answered within `patience` is asked once more, on a connection
+    of its own: a kept one may have fallen silent for good (0: never).
+    """
 
     kind: CallKind
     method: str
     path: str
     body: bytes | None = None
     timeout: float = 0
+    patience: float = 0
+    fresh: bool = False
 
 
 class Caller:
@@ -59,21 +66,13 @@
 
     async def send(self, call: Call) -> Result[HTTPResponse, StoreError]:
         """Send a call; what the store did not do is an error."""
-        self.counts.note_started(call.kind)
-        try:
-            with self.counts.calling():
-                answer = await self._client.fetch(self._make_request(call))
-        except TimeoutError:
-            return self._lose(call, 'no answer, no time-out', sent=True)
-        except (HTTPClientError, pycurl.error, OSError) as error:
-            return self._lose(call, str(error), sent=True)
-        if answer.code in NOT_DONE:
-            return self._lose(call, f'HTTP {answer.code}', sent=False)
-        if not HTTPStatus.OK <= answer.code < HTTPStatus.INTERNAL_SERVER_ERROR:
-            detail = f'HTTP {answer.code} {answer.error}'
-            return self._lose(call, detail, sent=True)
-        self._reports.note_reached(self._peer)
-        return Ok(answer)
+        if not call.patience:
+            return await self._send_once(call)
+        first = replace(call, timeout=call.patience)
+        answer = await self._send_once(first)
+        if answer.is_ok() or not answer.error.late:
+            return answer
+        return await self._send_once(replace(call, fresh=True))
 
     def read(
         self,
@@ -111,6 +110,25 @@
         """Close all connections."""
         self._client.close()
 
+    async def _send_once(self, call: Call) -> Result[HTTPResponse, StoreError]:
+        self.counts.note_started(call.kind)
+        try:
+            with self.counts.calling():
+                answer = await self._client.fetch(self._make_request(call))
+        except TimeoutError:
+            unsaid = self._lose(call, 'no answer, no time-out', sent=True)
+            return unsaid.map_error(_note_late)
+        except (HTTPClientError, pycurl.error, OSError) as error:
+            lost = self._lose(call, str(error), sent=True)
+            return lost.map_error(_note_late) if _is_late(error) else lost
+        if answer.code in NOT_DONE:
+            return self._lose(call, f'HTTP {answer.code}', sent=False)
+        if not HTTPStatus.OK <= answer.code < HTTPStatus.INTERNAL_SERVER_ERROR:
+            detail = f'HTTP {answer.code} {answer.error}'
+            return self._lose(call, detail, sent=True)
+        self._reports.note_reached(self._peer)
+        return Ok(answer)
+
     def _make_request(self, call: Call) -> HTTPRequest:
         return HTTPRequest(
             f'http://{self._peer}{call.path}',
@@ -121,6 +139,7 @@
             request_timeout=call.timeout or self._settings.call_timeout,
             follow_redirects=False,
             decompress_response=False,
+            prepare_curl_callback=_prepare_fresh if call.fresh else _prepare,
         )
 
     def _lose(
@@ -133,3 +152,22 @@
         lost = self.fail(call, detail, sent=sent)
         self._reports.note_lost(lost)
         return Error(lost)
+
+
+def _is_late(error: Exception) -> bool:
+    """Tell whether no answer came in time."""
+    code = getattr(error, 'errno', None)
+    return bool(code == pycurl.E_OPERATION_TIMEDOUT)
+
+
+def _note_late(error: StoreError) -> StoreError:
+    return replace(error, late=True)
+
+
+def _prepare(transfer: pycurl.Curl) -> None:
+    transfer.setopt(pycurl.FRESH_CONNECT, 0)
+
+
+def _prepare_fresh(transfer: pycurl.Curl) -> None:
+    """Open a connection; handles are used again for other calls."""
+    transfer.setopt(pycurl.FRESH_CONNECT, 1)
--- a/hillfield/store/ports.py
+++ b/hillfield/store/ports.py
@@ -52,7 +52,7 @@
 class StoreError(Struct, frozen=True):
     """Say why a call failed; `maybe_done` that a write may have happened.
 
-    `compacted` says that a watch asked for more history than is kept: only
+    `late` says that no answer came in time, `compacted` says that a watch asked for more history than is kept: only
     a new reading of the range helps.
     """
 
@@ -61,6 +61,7 @@
     detail: str
     maybe_done: bool = False
     compacted: bool = False
+    late: bool = False
 
 
 class Store(Protocol):
