End the calls of a client with it, and close no client but the one that was late

What callers see: a change that comes late, where curl's own time-out fails.

Such a call gave up the client, and with it all other calls of that client: those heard no more and were not told, a watch for up to 11.5 s. Each of them then closed the client in use by that time, and cut off the next ones.

Calls of a client that is given up end with it, and a late call closes only the client that it used.

--- a/hillfield/store/clients.py
+++ b/hillfield/store/clients.py
@@ -1,6 +1,6 @@
 """Tornado's curl client, closed and renewed with requests running."""
 
-from asyncio import timeout
+from asyncio import Timeout, get_running_loop, timeout
 from typing import Any, Final
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -41,22 +41,41 @@
         self._requests = requests
         self._answer_limit = answer_limit
         self._client = self._open()
+        self._running: set[Timeout] = set()
 
     async def fetch(self, request: HTTPRequest) -> HTTPResponse:
-        """Return the answer, of any status; raise `TimeoutError` if late."""
-        limit = (request.request_timeout or 0) + OVERDUE
+        """Return the answer, of any status; raise `TimeoutError` if late.
+
+        Or if the client was given up meanwhile: nothing comes from it then.
+        """
+        client = self._client
+        running = timeout((request.request_timeout or 0) + OVERDUE)
+        self._running.add(running)
         try:
-            async with timeout(limit):
-                return await self._client.fetch(request, raise_error=False)
+            async with running:
+                return await client.fetch(request, raise_error=False)
         except TimeoutError:
-            self._client.close()
-            self._client = self._open()
+            self._renew(client)
             raise
+        finally:
+            self._running.discard(running)
 
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
 
+    def _renew(self, late: ClosableClient) -> None:
+        """Replace a client that was late, unless it has been replaced."""
+        if late is not self._client:
+            return
+        late.close()
+        self._client = self._open()
+        now = get_running_loop().time()
+        for running in self._running:
+            if not running.expired():
+                running.reschedule(now)
+        self._running = set()
+
     def _open(self) -> ClosableClient:
         return ClosableClient(
             force_instance=True,
