--- a/hillfield/platform/tests/test_in_force.py
+++ b/hillfield/platform/tests/test_in_force.py
@@ -130,3 +130,33 @@
     tmp_path, hosts
 ):
     play(tmp_path, change_amid_silence, ('refunds',) * hosts)
+
+
+def drop(peer, sealed):
+    """Lose a message between nodes."""
+
+
+async def change_amid_silent_links(site, pause):
+    """Let all links between nodes fall silent; then change."""
+    for host in site.hosts:
+        host.node.fleet.links.send = drop
+    await asyncio.sleep(pause)
+    assert not await find_late(site, 2)
+
+
+@mark.parametrize('pause', [0, 1.3])
+def test_links_that_fall_silent_leave_no_node_behind(tmp_path, pause):
+    story = partial(change_amid_silent_links, pause=pause)
+    play(tmp_path, story, ('refunds',) * 8)
+
+
+async def end_followers(site, version):
+    """End who reads the store, at the moment of an unheard change."""
+    site.store.muted = True
+    await asyncio.sleep(0.4)
+    await kill([host for host in site.hosts if holds_slot(host)])
+    assert not await find_late(site, version)
+
+
+def test_the_end_of_all_followers_keeps_no_change_back(tmp_path):
+    play(tmp_path, partial(end_followers, version=2), ONE_SERVICE)
