Send no heartbeat of its own where a reading will be told of soon

While what is known of the store is younger than 0.65 s, the next reading is left to bring the heartbeat. A follower's end is still noticed as before: its neighbours' own heartbeats begin again after 0.65 s.

--- a/hillfield/fleet/peering/upkeep.py
+++ b/hillfield/fleet/peering/upkeep.py
@@ -7,7 +7,11 @@
 from hillfield.clocks import TOLERATED
 from hillfield.events import EventCode
 from hillfield.fleet.core import Core
-from hillfield.fleet.heartbeats import hello_of, send_heartbeats
+from hillfield.fleet.heartbeats import (
+    find_age,
+    hello_of,
+    send_heartbeats,
+)
 from hillfield.fleet.messages import Goodbye
 from hillfield.fleet.peering.link_table import Link
 from hillfield.fleet.peering.selection import Circle, choose
@@ -21,6 +25,9 @@
 SEEK_AGAIN: Final = 5.0
 SURPLUS_AFTER: Final = 30.0
 BAN: Final = 15.0
+# Seconds after a reading of the store within which the next one is told of:
+# the first follower reads each 0.5 s and looks each 0.1 s.
+READING_EXPECTED: Final = 0.65
 
 
 def note_pause(core: Core, now: float) -> None:
@@ -45,8 +52,10 @@
 
 
 def beat(core: Core, now: float) -> None:
-    """Send heartbeats if it is time to."""
-    if now - core.clock.beat >= core.settings.heartbeat:
+    """Send heartbeats if it is time to, and a reading will not do it soon."""
+    if now - core.clock.beat < core.settings.heartbeat:
+        return
+    if find_age(core, now) >= READING_EXPECTED:
         send_heartbeats(core, now)
 
 
