Wait for a change only as long as it is promised to take

Four tests of real nodes waited up to 15 s for what is promised in 2: a change that no watch hears, one that is heard, one after a forgotten history, a key taken away. They take the bound from the promise now.

--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -20,6 +20,8 @@
 
 HOST = 'till.example'
 PATIENCE = 15
+# Seconds within which a change is promised to be in force.
+PROMISED = 2
 LIMITS = MappingProxyType(
     {
         'maxHeaderBytes': 16384,
@@ -172,8 +174,8 @@
         await asyncio.sleep(0.5)
         return zones == {'a', 'b'}
 
-    async def settle(self, condition):
-        async with asyncio.timeout(PATIENCE):
+    async def settle(self, condition, seconds=PATIENCE):
+        async with asyncio.timeout(seconds):
             while not await condition():
                 await asyncio.sleep(0.05)
 
--- a/hillfield/platform/tests/test_in_force.py
+++ b/hillfield/platform/tests/test_in_force.py
@@ -6,14 +6,13 @@
 from pytest import mark
 
 from hillfield.platform.tests.installation import (
+    PROMISED,
     RULES,
     make_configuration,
     make_rule,
     open_installation,
 )
 
-# Seconds within which a change is promised to be in force.
-PROMISED = 2
 KEY = 'op/config'
 ONE_SERVICE = ('refunds',) * 12
 
--- a/hillfield/platform/tests/test_keys.py
+++ b/hillfield/platform/tests/test_keys.py
@@ -10,6 +10,7 @@
 from hillfield.configuration.schema.credentials import hash_secret
 from hillfield.platform.routes import read_routes
 from hillfield.platform.tests.installation import (
+    PROMISED,
     RULES,
     make_configuration,
     make_rule,
@@ -117,7 +118,7 @@
         async def is_revoked():
             return await show_all(site, 'k-1', 'b') == [401, 401]
 
-        await site.settle(is_revoked)
+        await site.settle(is_revoked, PROMISED)
         assert (await show(site, site.hosts[1], 'k-2', 'c')).code == 200
 
     run(tmp_path, story)
--- a/hillfield/platform/tests/test_nodes.py
+++ b/hillfield/platform/tests/test_nodes.py
@@ -6,6 +6,7 @@
 from pytest import fixture, mark
 
 from hillfield.platform.tests.installation import (
+    PROMISED,
     RULES,
     make_configuration,
     make_rule,
@@ -55,7 +56,7 @@
         rules = (*RULES, make_rule('/later/', 'captures'))
         site.store.put('op/config', make_configuration(4, *rules))
 
-        await site.settle(partial(site.serves, '/later/'))
+        await site.settle(partial(site.serves, '/later/'), PROMISED)
 
     play(story)
 
@@ -306,7 +307,7 @@
         rules = (*RULES, make_rule('/later/', 'captures'))
         site.store.put('op/config', make_configuration(4, *rules))
 
-        await site.settle(partial(site.serves, '/later/'))
+        await site.settle(partial(site.serves, '/later/'), PROMISED)
 
     play(story)
 
@@ -323,7 +324,7 @@
         rules = (*RULES, make_rule('/later/', 'captures'))
         site.store.put('op/config', make_configuration(4, *rules))
 
-        await site.settle(partial(site.serves, '/later/'))
+        await site.settle(partial(site.serves, '/later/'), PROMISED)
 
     play(story)
 
