--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -39,10 +39,11 @@
 FOLLOWER_LOOK: Final = 0.1
 READING_LOOK: Final = 0.2
 # Seconds after which a reading that failed is repeated; it doubles up to the
-# longest, which followers keep within the time until a change is in force.
+# longest. That the store is back is noticed by followers, and told by them: of
+# the others only those need to try that hear none, and they soon follow it.
 READ_AGAIN: Final = 0.5
-FOLLOWER_LIMIT: Final = 2.0
-READ_LIMIT: Final = 30.0
+FOLLOWER_LIMIT: Final = 4.0
+READ_LIMIT: Final = 120.0
 # The first calls of a node are repeated soon: nothing is served without.
 FIRST_WAIT: Final = 0.3
 LONGEST_WAIT: Final = 2.0
