Rank followers only once a reading is old enough for any of them

Read as a newcomer: imports in their order, and no walk over all members ten times a second at each follower while a reading is fresh. No decision changes: nobody's patience is shorter than a reading is good for. Fleet's tests, those of a change in force in time and the bound of modules at a start pass.

--- a/hillfield/fleet/feeding.py
+++ b/hillfield/fleet/feeding.py
@@ -2,8 +2,8 @@
 
 from hillfield.configuration.entries import Entry
 from hillfield.events import EventCode
-from hillfield.fleet.state import FleetState
 from hillfield.fleet.core import Way
+from hillfield.fleet.state import FleetState
 from hillfield.store.paging import Snapshot
 from hillfield.store.ports import StoredValue
 
--- a/hillfield/fleet/feeds.py
+++ b/hillfield/fleet/feeds.py
@@ -8,13 +8,13 @@
 
 from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
+from hillfield.fleet.core import Way
 from hillfield.fleet.effects import StoreRead
 from hillfield.fleet.feeding import feed_snapshot, feed_value
 from hillfield.fleet.service import Fleet
-from hillfield.fleet.core import Way
-from hillfield.store.following import FollowSettings, Followed, Follower
+from hillfield.store.following import Followed, Follower, FollowSettings
 from hillfield.store.paging import Snapshot, Span, read_span
-from hillfield.store.ports import Store, StoreError, StoredValue
+from hillfield.store.ports import Store, StoredValue, StoreError
 
 REPORT_AGAIN: Final = 10.0
 PAGE: Final = 256
@@ -24,7 +24,8 @@
     """Say what the store's keys start with, and how they are followed.
 
     A watch may hear nothing of a change and look well: `fresh` is for how
-    many seconds a reading tells what the store holds.
+    many seconds a reading tells what the store holds, where nodes read it
+    anew.
     """
 
     prefixes: tuple[str, ...]
--- a/hillfield/fleet/intake.py
+++ b/hillfield/fleet/intake.py
@@ -6,11 +6,11 @@
 
 from hillfield.events import EventCode
 from hillfield.fleet import membership
-from hillfield.fleet.heartbeats import confirm
 from hillfield.fleet.core import Core
 from hillfield.fleet.effects import Refused, StoreRead, Ticked
 from hillfield.fleet.envelope import Received
 from hillfield.fleet.handling import receive
+from hillfield.fleet.heartbeats import confirm
 from hillfield.fleet.peering import upkeep
 from hillfield.fleet.readiness import judge_readiness
 from hillfield.fleet.replication import anti_entropy, entry_spreading
--- a/hillfield/fleet/openrelay.py
+++ b/hillfield/fleet/openrelay.py
@@ -13,13 +13,13 @@
 from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.backoff import Backoff
-from hillfield.fleet.heartbeats import find_age
 from hillfield.fleet.core import Core
 from hillfield.fleet.feeds import FeedSettings, StoreFeed
+from hillfield.fleet.heartbeats import find_age
+from hillfield.fleet.introductions import Introductions
 from hillfield.fleet.reading import is_due
 from hillfield.fleet.records import NodeRecord
 from hillfield.fleet.service import Fleet
-from hillfield.fleet.introductions import Introductions
 from hillfield.fleet.slots import find_open_slot, rank_of
 from hillfield.store.ports import Store
 from hillfield.store.retries import Circuit, RetrySettings
--- a/hillfield/fleet/reading.py
+++ b/hillfield/fleet/reading.py
@@ -10,8 +10,8 @@
 from typing import Final
 
 from hillfield.fleet.audience import list_others
-from hillfield.fleet.heartbeats import find_age
 from hillfield.fleet.core import Core
+from hillfield.fleet.heartbeats import find_age
 from hillfield.fleet.peering.link_table import Link
 from hillfield.fleet.records import NodeRecord
 from hillfield.fleet.replication.summary import hash_of
@@ -34,6 +34,8 @@
 def is_due(core: Core, now: float, fresh: float) -> bool:
     """Tell whether to read now, where a reading is good for `fresh` seconds."""
     age = find_age(core, now)
+    if age < fresh:
+        return False
     if core.own.record.relay_of:
         return age >= find_patience(core, now, fresh)
     if age < _find_limit(core, now):
--- a/hillfield/fleet/replication/anti_entropy.py
+++ b/hillfield/fleet/replication/anti_entropy.py
@@ -4,9 +4,9 @@
 from typing import Final
 
 from hillfield.configuration.entries import Entry
-from hillfield.fleet.heartbeats import take_confirmation
 from hillfield.fleet.core import Core, Subject
 from hillfield.fleet.handling import Source, react
+from hillfield.fleet.heartbeats import take_confirmation
 from hillfield.fleet.messages import (
     Entries,
     Hashes,
--- a/hillfield/fleet/replication/entry_spreading.py
+++ b/hillfield/fleet/replication/entry_spreading.py
@@ -6,9 +6,9 @@
 
 from hillfield.configuration.entries import Entry
 from hillfield.events import EventCode
-from hillfield.fleet.heartbeats import confirm_by
 from hillfield.fleet.core import Core, Subject, Way
 from hillfield.fleet.handling import Source, react
+from hillfield.fleet.heartbeats import confirm_by
 from hillfield.fleet.messages import Entries, Have, Version, Want
 from hillfield.fleet.peering.distance import is_dear
 from hillfield.fleet.peering.link_table import Link
--- a/hillfield/fleet/state.py
+++ b/hillfield/fleet/state.py
@@ -8,6 +8,7 @@
 from hillfield.detection.evidence import Evidence
 from hillfield.fleet import membership
 from hillfield.fleet.assembling import core_of
+from hillfield.fleet.core import Way
 from hillfield.fleet.effects import Effect, Event, Ticked
 from hillfield.fleet.intake import take_event
 from hillfield.fleet.peering import upkeep
@@ -16,7 +17,6 @@
 from hillfield.fleet.replication import entry_spreading
 from hillfield.fleet.replication.ledger import EntryStore
 from hillfield.fleet.settings import FleetSettings
-from hillfield.fleet.core import Way
 from hillfield.model import Address, Target
 
 
--- a/hillfield/fleet/tests/test_reading.py
+++ b/hillfield/fleet/tests/test_reading.py
@@ -6,8 +6,8 @@
 import pytest
 
 from hillfield.configuration.entries import Entry
-from hillfield.fleet.heartbeats import find_age
 from hillfield.fleet.effects import StoreRead
+from hillfield.fleet.heartbeats import find_age
 from hillfield.fleet.mesh import Mesh
 from hillfield.fleet.reading import (
     ALONE,
--- a/hillfield/fleet/tests/test_state.py
+++ b/hillfield/fleet/tests/test_state.py
@@ -9,9 +9,9 @@
 from hillfield.fleet.effects import Dial, SendTo, Ticked
 from hillfield.fleet.mesh import Mesh
 from hillfield.fleet.messages import Statement, Statements
-from hillfield.fleet.reading import is_cut_off
 from hillfield.fleet.outbox import Outbox
 from hillfield.fleet.readiness import waiting_for
+from hillfield.fleet.reading import is_cut_off
 from hillfield.fleet.settings import FleetSettings
 from hillfield.fleet.statements import take_in
 from hillfield.model import Address, Locality, Target, TargetId, TargetState
--- a/hillfield/node/reading.py
+++ b/hillfield/node/reading.py
@@ -6,8 +6,8 @@
 from time import time
 
 from hillfield.clocks import monotonic
-from hillfield.fleet.heartbeats import find_age
 from hillfield.fleet.core import Core
+from hillfield.fleet.heartbeats import find_age
 from hillfield.metrics import (
     LimitReading,
     LinkReading,
--- a/hillfield/platform/store.py
+++ b/hillfield/platform/store.py
@@ -19,16 +19,16 @@
     write_swap,
 )
 from hillfield.store.counters import CallCounts, CallKind
+from hillfield.store.httpcalls import Call, Caller
 from hillfield.store.ports import (
     Accepted,
     Change,
     Conflict,
     Page,
-    StoreError,
     StoredValue,
+    StoreError,
 )
 from hillfield.store.store_settings import StoreSettings
-from hillfield.store.httpcalls import Call, Caller
 
 # Seconds that a watch waits for an event: each counts as a call. What one
 # that fell silent misses is found by reading the key anew.
--- a/hillfield/store/httpcalls.py
+++ b/hillfield/store/httpcalls.py
@@ -11,11 +11,11 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from hillfield.events import Journal
+from hillfield.store.clients import RenewedClient
 from hillfield.store.counters import CallCounts, CallKind
 from hillfield.store.ports import StoreError
-from hillfield.store.store_settings import StoreSettings
-from hillfield.store.clients import RenewedClient
 from hillfield.store.reports import Reports
+from hillfield.store.store_settings import StoreSettings
 
 WRITES: Final = frozenset((CallKind.SWAP, CallKind.GRANT, CallKind.REVOKE))
 # Answers by which the store says that it did nothing.
