Tell each repeat that a target gets, and what it is

The node that sends an attempt now tells the gate whether it is a retry or a hedge, and the gate writes REPEAT_SENT and counts hillfield_repeats when it hands it to its target. HEDGE_SENT is written at info.

No decision uses any of it yet.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -26,6 +26,7 @@
     REQUEST_SENT_ON = 2011
     CRASHING_REQUEST_REFUSED = 2012
     BYTES_EXHAUSTED = 2013
+    REPEAT_SENT = 2014
     TARGET_SUSPECTED = 3001
     TARGET_EJECTED = 3002
     TARGET_AVOIDED = 3003
@@ -125,11 +126,12 @@
         EventCode.ANSWER_INTERRUPTED: 'warning',
         EventCode.REQUEST_STRAY_ERROR: 'error',
         EventCode.CALLER_GONE: 'debug',
-        EventCode.HEDGE_SENT: 'debug',
+        EventCode.HEDGE_SENT: 'info',
         EventCode.REQUEST_FAILED: 'info',
         EventCode.REQUEST_SENT_ON: 'info',
         EventCode.CRASHING_REQUEST_REFUSED: 'info',
         EventCode.BYTES_EXHAUSTED: 'warning',
+        EventCode.REPEAT_SENT: 'info',
         EventCode.TARGET_SUSPECTED: 'info',
         EventCode.TARGET_EJECTED: 'warning',
         EventCode.TARGET_AVOIDED: 'warning',
--- a/hillfield/gate/attempts.py
+++ b/hillfield/gate/attempts.py
@@ -7,7 +7,7 @@
 from hillfield.events import EventCode, Occurrence
 from hillfield.gate.notices import apply_notice
 from hillfield.gate.reporting import build_report
-from hillfield.gate.state import GateState
+from hillfield.gate.state import GateState, RepeatListener
 from hillfield.loadreports.reports import LoadReport
 from hillfield.model import TargetId, TargetNotice
 from hillfield.routing.phases import AttemptTrigger
@@ -38,6 +38,10 @@
         self.on_leaving: LeavingListener = _ignore_leaving
         self.on_answer: AnswerListener = _ignore_report
 
+    def count_repeats(self, listener: RepeatListener) -> None:
+        """Call `listener` with each repeat that is sent to the target."""
+        self._state.on_repeat = listener
+
     def record_written(self, now: float, attempt: int) -> None:
         """Record that the attempt's first byte is about to be written."""
         attempt_record = self._state.table.find(attempt)
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -13,6 +13,7 @@
 from hillfield.model import (
     IncarnationNotice,
     Outcome,
+    RepeatKind,
     RequestPlan,
     Step,
     TargetId,
@@ -59,7 +60,8 @@
     which an answer is worth most, tell how long it should take; `spent` is the
     seconds since it was first sent, `account` its client account (empty:
     none), `notice` what the sender has received from the target at this
-    address (None: nothing).
+    address (None: nothing), `repeat` why this is not the request's first
+    arrival at a target (None: it is).
     """
 
     service: str
@@ -74,6 +76,7 @@
     spent: float = 0
     account: str = ''
     notice: IncarnationNotice | None = None
+    repeat: RepeatKind | None = None
 
 
 _DECODER: Final = Decoder(HopInstructions)
@@ -129,6 +132,7 @@
             send.spent,
             plan.account,
             send.notice,
+            send.repeat,
         )
         fields.add(HOP, write_hop(order))
 
--- a/hillfield/gate/plans.py
+++ b/hillfield/gate/plans.py
@@ -72,6 +72,7 @@
             urgency=instructions.urgency,
             aim=instructions.aim,
             spent=instructions.spent,
+            repeat=instructions.repeat,
         )
 
 
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -1,5 +1,6 @@
 """State of a gate: its target, and the requests in flight and waiting."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -12,7 +13,12 @@
 from hillfield.gate.queue import GateQueue
 from hillfield.gate.served import ServedIncarnation
 from hillfield.gate.usage import AccountUsage, is_service_call
-from hillfield.model import IncarnationNotice, Target, TargetState
+from hillfield.model import (
+    IncarnationNotice,
+    RepeatKind,
+    Target,
+    TargetState,
+)
 from hillfield.routing.durations import RouteDurations
 from hillfield.routing.loads import Latency
 from hillfield.routing.records import AttemptRecord, RequestRecord, RequestTable
@@ -23,6 +29,13 @@
 # ago. Without it, all targets are quarantined at once after a loss of power.
 COLD_FACTOR: Final = 2.0
 
+# Called with the service and the kind of each repeat that is sent.
+RepeatListener = Callable[[str, str], None]
+
+
+def _ignore_repeat(service: str, kind: str) -> None:
+    """Ignore the repeat."""
+
 
 @dataclass(slots=True)
 class GateState:
@@ -47,6 +60,7 @@
     age_reliability: AgeReliability = field(default_factory=AgeReliability)
     usage: AccountUsage = field(default_factory=AccountUsage)
     displaced: list[Refuse] = field(default_factory=list)
+    on_repeat: RepeatListener = _ignore_repeat
 
     @property
     def target(self) -> Target | None:
@@ -124,6 +138,8 @@
         self.health.record_start(now)
         self.limit.consume(now)
         plan = record.arrival.plan
+        if plan.repeat is not None:
+            _record_repeat(self, record, target, plan.repeat)
         if not is_service_call(plan):
             expected = self.durations.find(plan).find_quantile(0)
             self.usage.charge(now, plan.account, expected)
@@ -162,3 +178,22 @@
             code = EventCode.GATE_SHUNNED
         score = round(self.health.score, 1)
         self.record_event(code, serving, f'{reason}, score {score}')
+
+
+def _record_repeat(
+    state: GateState,
+    record: RequestRecord,
+    target: Target,
+    kind: RepeatKind,
+) -> None:
+    name = kind.name.lower()
+    state.on_repeat(target.id.service, name)
+    state.journal.record(
+        Occurrence(
+            EventCode.REPEAT_SENT,
+            service=target.id.service,
+            target=str(target.id),
+            request=record.arrival.request,
+            detail=name,
+        ),
+    )
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -22,6 +22,7 @@
 from hillfield.hostroutes.routes import HostRoute, RouteIndex, RouteTable
 from hillfield.model import (
     AnswerChecks,
+    RepeatKind,
     RequestFailure,
     RequestPlan,
     ServicePolicy,
@@ -73,6 +74,21 @@
         """Return 0 and count the request, or the seconds to wait."""
 
 
+class HostRuns(Protocol):
+    """Tell what the target of this host runs."""
+
+    def is_called_by_repeat(self, expires: float) -> bool:
+        """Return whether a repeated run makes calls that end then."""
+
+
+class NoRuns:
+    """Know of no runs."""
+
+    def is_called_by_repeat(self, expires: float) -> bool:
+        """Return False."""
+        return False
+
+
 class NoQuotas:
     """Quotas without limits."""
 
@@ -101,10 +117,12 @@
     ) -> None:
         """Start without routes; `listener` is called with each new table.
 
-        `quotas` must accept a request of an account before it is planned.
+        `quotas` must accept a request of an account before it is planned,
+        `runs` tells which requests are calls of repeated runs.
         """
         self.generation = 0
         self.quotas: Quotas = NoQuotas()
+        self.runs: HostRuns = NoRuns()
         self.listener: TableListener = _ignore_table
         self._settings = settings
         self._reader = reader
@@ -173,7 +191,9 @@
         wait = self.quotas.ask(account)
         if wait:
             return Error(refuse_quota(account.name, wait))
-        return Ok(self._plan(route, account))
+        return Ok(
+            self._plan(route, account, _find_repeat(self.runs, account, head))
+        )
 
     def policy(self, service: str) -> ServicePolicy | None:
         """Return the policy of a service, if a route leads there."""
@@ -194,7 +214,12 @@
             for route in table.routes
         }
 
-    def _plan(self, route: HostRoute, account: FleetAccount) -> RequestPlan:
+    def _plan(
+        self,
+        route: HostRoute,
+        account: FleetAccount,
+        repeat: RepeatKind | None,
+    ) -> RequestPlan:
         settings = self._settings
         checks = settings.safe_checks if route.idempotent else settings.checks
         adoption = self._adoptions[route.name]
@@ -211,12 +236,23 @@
             aim=route.aim,
             route_version=adoption.version,
             route_since=adoption.since,
+            repeat=repeat,
         )
 
     def _record(self, code: EventCode, detail: str) -> None:
         self._journal.record(Occurrence(code, step='adopt', detail=detail))
 
 
+def _find_repeat(
+    runs: HostRuns, account: FleetAccount, head: RequestHead
+) -> RepeatKind | None:
+    """Return `CALL` for a call of a run that is itself a repeat."""
+    if account.name or head.patience is None:
+        return None
+    called = runs.is_called_by_repeat(monotonic() + head.patience)
+    return RepeatKind.CALL if called else None
+
+
 def _identify(
     index: RouteIndex,
     route: HostRoute,
--- a/hillfield/metrics/requests.py
+++ b/hillfield/metrics/requests.py
@@ -43,6 +43,14 @@
             'Retries of requests, by reason.',
             'reason',
         )
+        self._repeats = BoundCounter(
+            registry,
+            'hillfield_repeats',
+            "Requests sent to this host's target that were not the first "
+            'arrival of a request, by service and kind.',
+            'service',
+            'kind',
+        )
         self._routes = BoundCounter(
             registry,
             'hillfield_route_requests',
@@ -76,6 +84,10 @@
         """Count a retry."""
         self._retries.count((reason,))
 
+    def record_repeat(self, service: str, kind: str) -> None:
+        """Count a repeat that was sent to this host's target."""
+        self._repeats.count((service, kind))
+
     def record_route(self, age: str, served: bool) -> None:
         """Count a request by the age of its route at this node."""
         self._routes.count((age, 'yes' if served else 'no'))
--- a/hillfield/model/__init__.py
+++ b/hillfield/model/__init__.py
@@ -9,6 +9,7 @@
 from hillfield.model.outcomes import Outcome, RequestFailure, Step
 from hillfield.model.plans import (
     AnswerChecks,
+    RepeatKind,
     RequestPlan,
     ServicePolicy,
     Urgency,
@@ -22,6 +23,7 @@
     'IncarnationNotice',
     'Locality',
     'Outcome',
+    'RepeatKind',
     'RequestFailure',
     'RequestPlan',
     'NO_NOTICE',
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -19,6 +19,18 @@
     ALLOW_ANY = 3
 
 
+class RepeatKind(IntEnum):
+    """Say why a request reaches a target that isn't the first arrival of it.
+
+    `CALL`: it is the first arrival of a call, but the run that made the call
+    was itself a repeat.
+    """
+
+    RETRY = 1
+    HEDGE = 2
+    CALL = 3
+
+
 class AnswerChecks(Struct, frozen=True):
     """Say what makes an answer wrong beyond its status.
 
@@ -40,9 +52,10 @@
     """Say how one request is to be treated; times are in seconds.
 
     `priority` ranks waiting requests (0 goes first), `origin` is the service
-    on whose host the request began (empty: unknown). `trial`, `urgency` and
-    `spent` (the seconds since the request was first sent) are set by the node
-    where it began, for this attempt. `aim` is the time within which an answer
+    on whose host the request began (empty: unknown). `trial`, `urgency`,
+    `spent` (the seconds since the request was first sent) and `repeat` (None:
+    its first arrival) are set by the node where it began, for this attempt.
+    `aim` is the time within which an answer
     is worth most (0: unknown), `route_version` the version of the
     configuration that introduced the route (None: unknown here),
     `route_since` when this node first held it, by the monotonic clock (None:
@@ -65,6 +78,7 @@
     spent: float = 0
     route_version: int | None = None
     route_since: float | None = None
+    repeat: RepeatKind | None = None
 
 
 class ServicePolicy(Struct, frozen=True):
--- a/hillfield/model/structs.py
+++ b/hillfield/model/structs.py
@@ -21,7 +21,7 @@
 
 
 def encode_row(row: Struct) -> bytes:
-    """Return a struct as a JSON array, without a last field that is None.
+    """Return a struct as a JSON array, without last fields that are None.
 
     >>> class Pair(Struct, array_like=True):
     ...     left: int
@@ -30,6 +30,6 @@
     (b'[1]', b'[1,2]')
     """
     encoded = _ENCODER.encode(row)
-    if encoded.endswith(_NULL_LAST_FIELD):
-        return b'%b]' % encoded.removesuffix(_NULL_LAST_FIELD)
+    while encoded.endswith(_NULL_LAST_FIELD):
+        encoded = b'%b]' % encoded.removesuffix(_NULL_LAST_FIELD)
     return encoded
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -83,6 +83,7 @@
     ) -> None:
         """Build the parts; nothing is opened before `start`."""
         self.gate = Gate(recording.journal)
+        self.gate.count_repeats(recording.metrics.record_repeat)
         meter = CallMeter(recording.metrics, self.gate.failed_calls)
         self.crashes = build_crash_exchange(
             settings, fittings, recording.journal
@@ -116,6 +117,7 @@
         )
         self._gate_ticking: ScheduledCall | None = None
         fittings.planner.listener = self._adopt_table
+        fittings.planner.runs = self.gate
 
     async def abandon(self) -> None:
         """Stop at once, as in a crash; nothing is finished or announced."""
--- a/hillfield/proxy/planning.py
+++ b/hillfield/proxy/planning.py
@@ -45,7 +45,9 @@
     The deadline counts from `received_at`, when the head had arrived.
     """
     dialect = context.settings.callers
-    head = read_request_head(start_line, headers, dialect.key_scheme)
+    head = read_request_head(
+        start_line, headers, dialect.key_scheme, dialect.deadline
+    )
     resolved = context.plans.resolve(head)
     if resolved.is_error():
         return Error(resolved.error)
--- a/hillfield/routing/requests.py
+++ b/hillfield/routing/requests.py
@@ -10,6 +10,7 @@
 from hillfield.model import (
     Address,
     IncarnationNotice,
+    RepeatKind,
     RequestFailure,
     RequestPlan,
     TargetId,
@@ -39,7 +40,8 @@
     `trial` says that the request can be retried at another target if this
     attempt fails, `urgency` how healthy its target has to be, `spent` the
     seconds since the request was admitted, `notice` the last notice received
-    from the target at this address.
+    from the target at this address, `repeat` why this is not the first arrival
+    (None: it is).
     """
 
     request: str
@@ -50,6 +52,7 @@
     urgency: Urgency = Urgency.HEALTHY_ONLY
     spent: float = 0
     notice: IncarnationNotice | None = None
+    repeat: RepeatKind | None = None
 
 
 class Wait(Struct, frozen=True):
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -11,6 +11,7 @@
 from hillfield.loadreports.reports import WithheldWork
 from hillfield.model import (
     Locality,
+    RepeatKind,
     ServicePolicy,
     Target,
     TargetId,
@@ -140,6 +141,7 @@
         )
         self.selector.record_sent(target.id)
         self.capacities.count_sent(target.id)
+        repeat = _classify_repeat(record)
         send = self.table.start(now, record, target)
         return replace(
             send,
@@ -147,6 +149,7 @@
             urgency=compute_urgency(now, record, allow_suspected),
             spent=round(record.compute_elapsed(now), MILLISECOND_DIGITS),
             notice=self.notices.find(now, target.id.address),
+            repeat=repeat,
         )
 
     def drop(self, request: str) -> None:
@@ -221,6 +224,15 @@
         return spare and self.budget.retries.can_consume()
 
 
+def _classify_repeat(record: RequestRecord) -> RepeatKind | None:
+    """Return why the next attempt is a repeat; None: the first arrival."""
+    if record.live:
+        return RepeatKind.HEDGE
+    if record.sent:
+        return RepeatKind.RETRY
+    return record.arrival.plan.repeat
+
+
 def open_service(
     policy: ServicePolicy,
     locality: Locality,
