Recognise the calls of repeated runs by their ids

Their ids extend the id of the run that made them (as in the users' own record), which tells the run for certain. Nothing promises that, so until a host has seen such an id its calls are counted by the share of its runs that are repeats. Tests of what is told, and of what is not a repeat.

--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -11,7 +11,6 @@
 from hillfield.gate.admission import admit, serve_queue
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.completion import finish
-from hillfield.gate.parents import find_parent
 from hillfield.gate.notices import record_limit_counts
 from hillfield.gate.results import is_success
 from hillfield.gate.serving import IncarnationServing
@@ -49,13 +48,10 @@
         """Return the record of failed requests that began on this host."""
         return self._state.failed_calls
 
-    def is_called_by_repeat(self, expires: float) -> bool:
-        """Return whether a run that is a repeat makes calls that end then."""
-        running = self._state.table.attempts.values()
-        parent = find_parent(running, expires)
-        if parent is None:
-            return False
-        return parent.record.arrival.plan.repeat is not None
+    def is_called_by_repeat(self, request: str) -> bool:
+        """Return whether a run that is a repeat made the call of this id."""
+        running = tuple(self._state.table.attempts.values())
+        return self._state.call_parents.is_called_by_repeat(request, running)
 
     def for_service(self, service: str) -> 'Gate':
         """Return this gate: it serves only one target."""
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -10,6 +10,7 @@
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.health import AttemptResult, HealthScore
 from hillfield.gate.limit import RateLimit
+from hillfield.gate.parents import CallParents
 from hillfield.gate.queue import GateQueue
 from hillfield.gate.served import ServedIncarnation
 from hillfield.gate.usage import AccountUsage, is_service_call
@@ -61,6 +62,7 @@
     usage: AccountUsage = field(default_factory=AccountUsage)
     displaced: list[Refuse] = field(default_factory=list)
     on_repeat: RepeatListener = _ignore_repeat
+    call_parents: CallParents = field(default_factory=CallParents)
 
     @property
     def target(self) -> Target | None:
--- a/hillfield/gate/tests/test_gate.py
+++ b/hillfield/gate/tests/test_gate.py
@@ -15,6 +15,7 @@
     AnswerChecks,
     Locality,
     Outcome,
+    RepeatKind,
     RequestPlan,
     Target,
     TargetId,
@@ -465,3 +466,12 @@
     decision = gate.admit(0.4, allows_any)
     assert isinstance(decision, Refuse)
     assert decision.failure.outcome is Outcome.NOT_RUN
+
+
+def test_a_repeat_that_reaches_the_target_is_told_and_counted(gate):
+    told = []
+    gate.count_repeats(lambda service, kind: told.append((service, kind)))
+    plan = resolve(gate, repeat=RepeatKind.HEDGE).ok
+    gate.admit(0, Arrival('h', plan, 5, True))
+    gate.admit(0, Arrival('f', resolve(gate).ok, 5, True))
+    assert told == [('refunds', 'hedge')]
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -77,14 +77,14 @@
 class HostRuns(Protocol):
     """Tell what the target of this host runs."""
 
-    def is_called_by_repeat(self, expires: float) -> bool:
-        """Return whether a repeated run makes calls that end then."""
+    def is_called_by_repeat(self, request: str) -> bool:
+        """Return whether a repeated run made the call of this id."""
 
 
 class NoRuns:
     """Know of no runs."""
 
-    def is_called_by_repeat(self, expires: float) -> bool:
+    def is_called_by_repeat(self, request: str) -> bool:
         """Return False."""
         return False
 
@@ -247,9 +247,9 @@
     runs: HostRuns, account: FleetAccount, head: RequestHead
 ) -> RepeatKind | None:
     """Return `CALL` for a call of a run that is itself a repeat."""
-    if account.name or head.patience is None:
+    if account.name:
         return None
-    called = runs.is_called_by_repeat(monotonic() + head.patience)
+    called = runs.is_called_by_repeat(head.request)
     return RepeatKind.CALL if called else None
 
 
--- a/hillfield/hostroutes/tests/test_planner.py
+++ b/hillfield/hostroutes/tests/test_planner.py
@@ -19,7 +19,7 @@
     RouteTable,
     SplitPart,
 )
-from hillfield.model import AnswerChecks, ServicePolicy
+from hillfield.model import AnswerChecks, RepeatKind, ServicePolicy
 from hillfield.proxy.ports import RequestHead
 
 TILL = 'till.example'
@@ -232,3 +232,19 @@
     assert (first.route_version, first.route_since) == (1, None)
     assert added.route_version == 2
     assert added.route_since is not None
+
+
+class Runs:
+    def is_called_by_repeat(self, request):
+        return request.startswith('repeated')
+
+
+def test_a_call_of_a_repeated_run_is_planned_as_a_repeat(planner):
+    planner.adopt(Entry('routes', 1, b'1'))
+    planner.runs = Runs()
+    heads = [
+        RequestHead('GET', '/', '', '', host=TILL, request=request)
+        for request in ('repeated.1', 'other.1')
+    ]
+    plans = [planner.resolve(head).ok for head in heads]
+    assert [plan.repeat for plan in plans] == [RepeatKind.CALL, None]
--- a/hillfield/proxy/heads.py
+++ b/hillfield/proxy/heads.py
@@ -4,7 +4,6 @@
 from base64 import b64decode
 from binascii import Error as Base64Error
 from collections.abc import Iterable
-from math import inf
 from typing import Final
 
 from msgspec import Struct
@@ -77,11 +76,11 @@
     start_line: RequestStartLine,
     headers: HTTPHeaders,
     key_scheme: str = '',
-    deadline: str = '',
+    request: str = '',
 ) -> RequestHead:
     """Return the parts of a request's head that a plan depends on.
 
-    `deadline` is the header with the caller's deadline.
+    `request` is the id that others see.
 
     >>> line = RequestStartLine('GET', 'http://till/a?b', 'HTTP/1.1')
     >>> read_request_head(line, HTTPHeaders()).path
@@ -99,7 +98,7 @@
         headers.get('Idempotency-Key', ''),
         headers.get('Host', ''),
         headers.get(HOP, ''),
-        read_deadline(headers.get(deadline), inf) if deadline else None,
+        request,
     )
 
 
--- a/hillfield/proxy/planning.py
+++ b/hillfield/proxy/planning.py
@@ -46,7 +46,7 @@
     """
     dialect = context.settings.callers
     head = read_request_head(
-        start_line, headers, dialect.key_scheme, dialect.deadline
+        start_line, headers, dialect.key_scheme, ids.request
     )
     resolved = context.plans.resolve(head)
     if resolved.is_error():
--- a/hillfield/proxy/ports.py
+++ b/hillfield/proxy/ports.py
@@ -15,8 +15,8 @@
     `account` and `secret` come from HTTP Basic credentials; both are empty if
     the caller sent none. `idempotency_key` and `host` are the values of their
     headers, or empty. `hop` is the header of the node that received the
-    request from its caller (empty at that node itself), `patience` the seconds
-    that the caller says it will wait (None: it doesn't say).
+    request from its caller (empty at that node itself), `request` the id that
+    others see.
     """
 
     method: str
@@ -26,7 +26,7 @@
     idempotency_key: str = ''
     host: str = ''
     hop: str = ''
-    patience: float | None = None
+    request: str = ''
 
 
 class PlanSource(Protocol):
--- a/hillfield/routing/tests/test_hedging.py
+++ b/hillfield/routing/tests/test_hedging.py
@@ -9,6 +9,7 @@
 from hillfield.model import (
     Address,
     Locality,
+    RepeatKind,
     RequestPlan,
     ServicePolicy,
     Target,
@@ -174,3 +175,24 @@
         for late in tuple(dispatcher._service.table.attempts):
             dispatcher.finish(now + 0.3, late, CallerGone())
     assert hedged == 8
+
+
+def test_each_further_arrival_is_told_from_the_first():
+    dispatcher = make_dispatcher()
+    first = send(dispatcher, 'r')
+    hedge = dispatcher.hedge(0.3, 'r')
+    dispatcher.record_written(0.3, hedge.attempt)
+    dispatcher.finish(0.4, first.attempt, Answered(500, wrong='status'))
+    failed = send(dispatcher, 's', 1)
+    again = dispatcher.finish(
+        1.1, failed.attempt, Answered(500, wrong='status')
+    )
+    kinds = [sent.repeat for sent in (first, hedge, failed, again)]
+    assert kinds == [None, RepeatKind.HEDGE, None, RepeatKind.RETRY]
+
+
+def test_a_declined_first_attempt_makes_no_repeat():
+    dispatcher = make_dispatcher()
+    first = send(dispatcher, 'r')
+    again = dispatcher.finish(0.1, first.attempt, Declined('full'))
+    assert again.repeat is None
