Show in a model that calls of repeated runs pass the fleet's bound

The model counts as the users' rule does: sliding windows, calls of repeated runs, requests of the fullest of three windows.

--- a/hillfield/experiments/calling/courses.py
+++ b/hillfield/experiments/calling/courses.py
@@ -39,9 +39,11 @@
         name: str,
         deadline: float,
         end: Callable[[str], None],
+        is_called_by_repeat: bool = False,
     ) -> None:
         """Prepare; `end` is told `ok`, `refused` or `failed`."""
         self.name = name
+        self.is_called_by_repeat = is_called_by_repeat
         self.kind = kind
         self.closed = False
         self.hops: dict[int, Hop] = {}
@@ -55,6 +57,7 @@
         """Ask for admission."""
         now = self.host.clock.now
         self.host.courses[self.name] = self
+        self.host.network.note_asked(self.kind.service)
         self.host.clock.call_at(self.expires, self._expire)
         arrival = Arrival(self.name, self.kind.plan, self.expires, True)
         self.take(self._dispatcher.admit(now, arrival))
@@ -182,11 +185,13 @@
             self._answer(declined, 0)
         elif isinstance(verdict, Send):
             self._work = verdict
-            self._host.count_arrival(self._course.name, self._course.kind)
+            is_repeat = self._host.count_arrival(self._course)
             self._run = self._host.target.start(
                 self._course.kind,
                 self._course.expires,
                 self._finish,
+                self._key,
+                is_repeat,
             )
             time_out = partial(self._cut, TimedOut())
             self._clock.call_at(self._course.expires, time_out)
@@ -211,6 +216,7 @@
             urgency=self.send.urgency,
             spent=self.send.spent,
             origin=self._course.host.service,
+            repeat=self.send.repeat,
         )
 
     def _finish(self, status: int) -> None:
--- a/hillfield/experiments/calling/deployment.py
+++ b/hillfield/experiments/calling/deployment.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, convert
 
-from hillfield.model import RequestPlan
+from hillfield.model import RepeatBound, RepeatKind, RequestPlan
 
 ATTEMPTS: Final = 2
 # Part of the answers of a well target that are errors (site files).
@@ -20,7 +20,8 @@
     `rate` is how many come a second in all domains (0: only calls), `work`
     and `spread` the mean of its work and the deviation of its logarithm,
     `calls` the kind that its work calls, so many times, in `share` of the runs,
-    `begins` when its route is added (0: there from the start).
+    `begins` when its route is added (0: there from the start), `repeat` says
+    that it is called by a repeated run.
     """
 
     route: str
@@ -40,6 +41,7 @@
     worth: float = 0
     errors: float = ERRORS
     begins: float = 0
+    repeat: RepeatKind | None = None
 
     @property
     def plan(self) -> RequestPlan:
@@ -53,6 +55,7 @@
             maximum_attempts=ATTEMPTS,
             aim=self.aim,
             priority=self.priority,
+            repeat=self.repeat,
         )
 
 
@@ -101,6 +104,7 @@
     spells: Spells
     burst: Burst = Burst()
     need: Need | None = None
+    bound: RepeatBound = RepeatBound()
 
 
 def read_deployment(name: str) -> Deployment:
--- a/hillfield/experiments/calling/hosts.py
+++ b/hillfield/experiments/calling/hosts.py
@@ -1,24 +1,28 @@
 """Hosts with a node and a target each, and the network between them."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from random import Random
 from typing import Final
 
+from msgspec.structs import replace
+
 from hillfield.detection.pathdetector import PathDetector
 from hillfield.events import ListJournal
 from hillfield.experiments.calling.clock import Clock
 from hillfield.experiments.calling.courses import Course, Hop
-from hillfield.experiments.calling.deployment import Deployment, Kind
-from hillfield.experiments.calling.targets import ModelTarget
+from hillfield.experiments.calling.deployment import Deployment
+from hillfield.experiments.calling.repeats import TargetArrival
+from hillfield.experiments.calling.targets import ModelTarget, Run
 from hillfield.gate import Gate, ServedIncarnation
 from hillfield.hostroutes.node_policy import make_policy
 from hillfield.loadreports import LoadReport, ReportPacer
 from hillfield.model import (
     Address,
     Locality,
+    RepeatKind,
     Target,
     TargetId,
 )
@@ -42,13 +46,18 @@
 class Network:
     """Find hosts, and count what goes between failure domains.
 
-    `declined` counts the requests that gates did not take.
+    `declined` counts the requests that gates did not take, `seen` holds those
+    that have reached a target, `asked` when each service was asked for.
     """
 
     clock: Clock
     hosts: 'dict[Address, Host]'
     crossing: Counter[str]
     declined: int = 0
+    seen: set[str] = field(default_factory=set)
+    asked: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
 
     def find_host(self, address: Address) -> 'Host':
         """Return the host of a target."""
@@ -63,6 +72,10 @@
         if one.domain != other.domain:
             self.crossing['requests'] += HEAD + size
 
+    def note_asked(self, service: str) -> None:
+        """Note that a caller asks for a service."""
+        self.asked[service].append(self.clock.now)
+
     def spread(self, host: 'Host', report: LoadReport, far: bool) -> None:
         """Bring a report to the nodes of the own domain, or of the others."""
         for other in self.hosts.values():
@@ -93,7 +106,7 @@
         self.service = target.id.service
         self.courses: dict[str, Course] = {}
         self.hops: dict[str, Hop] = {}
-        self.arrivals: list[tuple[float, str, str]] = []
+        self.arrivals: list[TargetArrival] = []
         self.gate = Gate(ListJournal())
         self.gate.serve(ServedIncarnation(target, self.name))
         self.target = ModelTarget(
@@ -153,9 +166,16 @@
             if hop is not None:
                 hop.obey(verdict)
 
-    def count_arrival(self, name: str, kind: Kind) -> None:
-        """Note that the target gets a request."""
-        self.arrivals.append((self.clock.now, name, kind.service))
+    def count_arrival(self, course: Course) -> bool:
+        """Note that the target gets a request; return whether it is a repeat."""
+        seen = course.name in self.network.seen
+        self.network.seen.add(course.name)
+        is_repeat = seen or course.is_called_by_repeat
+        service = course.kind.service
+        self.arrivals.append(
+            TargetArrival(self.clock.now, course.name, service, is_repeat),
+        )
+        return is_repeat
 
     def take_report(self, report: LoadReport) -> None:
         """Take in what a gate tells."""
@@ -169,11 +189,22 @@
         self,
         route: str,
         left: float,
-        end: Callable[[bool], None],
+        run: Run,
     ) -> None:
         self._calls += 1
-        name = f'{self.name}.{self._calls}'
-        self.ask(route, name, left, lambda how: end(how == 'ok'))
+        name = f'{run.name}.{self.name}.{self._calls}'
+        kind = self._kinds[route]
+        if self.gate.is_called_by_repeat(name):
+            kind = replace(kind, repeat=RepeatKind.CALL)
+        seconds = min(left, kind.deadline)
+        Course(
+            self,
+            kind,
+            name,
+            seconds,
+            lambda how: run.end_call(how == 'ok'),
+            run.is_repeat,
+        ).start()
 
     def _report(self, now: float) -> None:
         report = self.gate.report(now)
--- a/hillfield/experiments/calling/play.py
+++ b/hillfield/experiments/calling/play.py
@@ -11,6 +11,7 @@
 from hillfield.experiments.calling.clock import Clock
 from hillfield.experiments.calling.deployment import Deployment, Kind
 from hillfield.experiments.calling.hosts import Host, Network, make_target
+from hillfield.experiments.calling.repeats import RepeatWindow, find_fullest
 
 DOMAINS: Final = 'abc'
 # Seconds in which targets' repeats are counted.
@@ -29,7 +30,8 @@
 
     `crossing` is bytes between failure domains, `repeats` the most that a
     service got within 10 s, `declined` how often a gate did not take one,
-    `waits` the seconds until each good answer, `needing` the moments at which
+    `windows` the one in which each service came nearest to the fleet's bound on
+    repeats, `waits` the seconds until each good answer, `needing` the moments at which
     each target got its requests that names a limit,
     `earned` and `owed` the worth of all.
     """
@@ -40,6 +42,7 @@
     declined: int = 0
     waits: list[float] = field(default_factory=list)
     needing: list[tuple[float, ...]] = field(default_factory=list)
+    windows: dict[str, RepeatWindow] = field(default_factory=dict)
     earned: float = 0
     owed: float = 0
 
@@ -78,8 +81,17 @@
         self._clock.run(seconds)
         self._count_repeats()
         self._outcome.declined = self._network.declined
+        self._outcome.windows = find_fullest(
+            self._network.asked,
+            [
+                arrival
+                for host in self._network.hosts.values()
+                for arrival in host.arrivals
+            ],
+            self._deployment.bound,
+        )
         self._outcome.needing.extend(
-            tuple(arrival[0] for arrival in host.arrivals)
+            tuple(arrival.moment for arrival in host.arrivals)
             for host in self._network.hosts.values()
             if host.target.need is not None
         )
@@ -166,10 +178,11 @@
         )
         seen: set[str] = set()
         windows: Counter[tuple[str, int]] = Counter()
-        for moment, name, service in arrivals:
-            if name in seen:
-                windows[service, int(moment / WINDOW)] += 1
-            seen.add(name)
+        for arrival in arrivals:
+            if arrival.name in seen:
+                window = int(arrival.moment / WINDOW)
+                windows[arrival.service, window] += 1
+            seen.add(arrival.name)
         for (service, _), amount in windows.items():
             known = self._outcome.repeats[service]
             self._outcome.repeats[service] = max(known, amount)
--- a/hillfield/experiments/calling/targets.py
+++ b/hillfield/experiments/calling/targets.py
@@ -14,8 +14,8 @@
 # No answer: the connection is reset.
 RESET = 0
 CallEnd = Callable[[bool], None]
-# Starts a call of the work: its kind, the seconds left, what to do at its end.
-Caller = Callable[[str, float, CallEnd], None]
+# Starts a call of a run: its kind, the seconds left, the run.
+Caller = Callable[[str, float, 'Run'], None]
 
 
 class Run:
@@ -26,9 +26,13 @@
         kind: Kind,
         expires: float,
         end: Callable[[int], None],
+        name: str = '',
+        is_repeat: bool = False,
     ) -> None:
         """Prepare; `end` is told of the status, unless it is cut."""
         self.kind = kind
+        self.name = name
+        self.is_repeat = is_repeat
         self.expires = expires
         self.cut = False
         self._end = end
@@ -93,9 +97,11 @@
         kind: Kind,
         expires: float,
         end: Callable[[int], None],
+        name: str = '',
+        is_repeat: bool = False,
     ) -> Run:
         """Start a request; it may never end."""
-        run = Run(kind, expires, end)
+        run = Run(kind, expires, end, name, is_repeat)
         if self.is_sick() and self._fail(run):
             return run
         if self._random.random() < kind.errors:
@@ -125,4 +131,4 @@
         run.await_calls(kind.times)
         left = run.expires - self._clock.now
         for _ in range(kind.times):
-            self._call(kind.calls, left, run.end_call)
+            self._call(kind.calls, left, run)
--- a/hillfield/model/__init__.py
+++ b/hillfield/model/__init__.py
@@ -9,6 +9,7 @@
 from hillfield.model.outcomes import Outcome, RequestFailure, Step
 from hillfield.model.plans import (
     AnswerChecks,
+    RepeatBound,
     RepeatKind,
     RequestPlan,
     ServicePolicy,
@@ -23,6 +24,7 @@
     'IncarnationNotice',
     'Locality',
     'Outcome',
+    'RepeatBound',
     'RepeatKind',
     'RequestFailure',
     'RequestPlan',
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -1,6 +1,7 @@
 """The plan for one request, resolved from a template and an account."""
 
 from enum import IntEnum
+from math import inf
 
 from msgspec import Struct
 
@@ -81,6 +82,18 @@
     repeat: RepeatKind | None = None
 
 
+class RepeatBound(Struct, frozen=True):
+    """Bound the repeats of each service over all nodes together.
+
+    In any `window` seconds, targets get at most `ratio` repeats for each
+    request of a caller, and `slack` more.
+    """
+
+    ratio: float = 0.2
+    slack: float = inf
+    window: float = 10
+
+
 class ServicePolicy(Struct, frozen=True):
     """Say how all traffic of one service is treated.
 
