Let the gates keep the fleet's bound on repeats, calls of repeats among them

Callers saw nothing wrong in an answer; a service that was failing already got 459 repeats in 10 s where all nodes together may send 453.

Cause: nobody owned the sum. Each node kept a budget of its own by constants (2, and 0.1 a second, and 0.16 for each answered request), which add up to 506 where 453 are allowed, and nothing was charged for the calls of a run that was itself a repeat.

All arrivals at a target pass its gate, so the gates of a service see just what is counted. Each now keeps an equal part of the slack, and of the ratio what its own requests earn, over the window of the settings, and declines retries and hedges beyond; the parts add up to the bound with no message, and a restart spends nothing twice, since a gate's part counts after one window. A repeat that is declined is tried at up to four gates, costs its target nothing and tells nothing against it. Answers and load reports tell what a gate has left, so one may go beyond its part while the others have theirs left, and a run that calls a service is not repeated while that service's gates have little left. Hedges leave more to others than retries do.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -50,6 +50,7 @@
     TARGET_HELD_BACK = 3516
     TARGET_LIMITED = 3517
     SERVICE_LIMITED = 3518
+    REPEAT_DECLINED = 3519
     RETRY_BUDGET_EMPTY = 3520
     OVERLOAD_STARTED = 3521
     OVERLOAD_ENDED = 3522
@@ -155,6 +156,7 @@
         EventCode.TARGET_HELD_BACK: 'info',
         EventCode.TARGET_LIMITED: 'info',
         EventCode.SERVICE_LIMITED: 'info',
+        EventCode.REPEAT_DECLINED: 'info',
         EventCode.RETRY_BUDGET_EMPTY: 'warning',
         EventCode.OVERLOAD_STARTED: 'warning',
         EventCode.OVERLOAD_ENDED: 'info',
--- a/hillfield/experiments/calling/courses.py
+++ b/hillfield/experiments/calling/courses.py
@@ -179,6 +179,7 @@
                 verdict.failure.detail,
                 verdict.failure.retry_after,
                 event == int(EventCode.TARGET_HELD_BACK),
+                event == int(EventCode.REPEAT_DECLINED),
             )
             self._gone = True
             self._course.host.network.declined += 1
--- a/hillfield/experiments/calling/deployment.py
+++ b/hillfield/experiments/calling/deployment.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, convert
 
-from hillfield.model import RepeatBound, RepeatKind, RequestPlan
+from hillfield.model import UNBOUNDED, RepeatBound, RepeatKind, RequestPlan
 
 ATTEMPTS: Final = 2
 # Part of the answers of a well target that are errors (site files).
@@ -104,7 +104,7 @@
     spells: Spells
     burst: Burst = Burst()
     need: Need | None = None
-    bound: RepeatBound = RepeatBound()
+    bound: RepeatBound = UNBOUNDED
 
 
 def read_deployment(name: str) -> Deployment:
--- a/hillfield/experiments/calling/hosts.py
+++ b/hillfield/experiments/calling/hosts.py
@@ -31,6 +31,8 @@
 REPEAT_RATIO: Final = 0.2
 FLOOR: Final = 0.7
 TICK: Final = 0.2
+# Seconds before the first request at which nodes have started.
+STARTED: Final = -12.0
 GATE_TICK: Final = 0.1
 # Seconds one way within a failure domain and between two.
 NEAR: Final = 0.0007
@@ -107,7 +109,7 @@
         self.courses: dict[str, Course] = {}
         self.hops: dict[str, Hop] = {}
         self.arrivals: list[TargetArrival] = []
-        self.gate = Gate(ListJournal())
+        self.gate = Gate(ListJournal(), deployment.bound)
         self.gate.serve(ServedIncarnation(target, self.name))
         self.target = ModelTarget(
             self.clock,
@@ -117,6 +119,7 @@
         )
         self._kinds = {kind.route: kind for kind in deployment.kinds}
         self._table = DispatcherTable(target.locality, PathDetector, random)
+        self.gate.watch_shares(partial(_find_share, self._table))
         self._pacer = ReportPacer()
         self._slots = target.slots
         self._calls = 0
@@ -130,6 +133,8 @@
         services = sorted({target.id.service for target in targets})
         for service in services:
             own = tuple(one for one in targets if one.id.service == service)
+            if service == self.service:
+                self.gate.adopt_targets(STARTED, len(own))
             dispatcher = self._table.for_service(service)
             dispatcher.adopt_policy(0, policy)
             self._table.adopt_targets(0, service, own)
@@ -194,7 +199,7 @@
         self._calls += 1
         name = f'{run.name}.{self.name}.{self._calls}'
         kind = self._kinds[route]
-        if self.gate.is_called_by_repeat(name):
+        if self.gate.record_call(self.clock.now, name, kind.service):
             kind = replace(kind, repeat=RepeatKind.CALL)
         seconds = min(left, kind.deadline)
         Course(
@@ -239,3 +244,9 @@
     address = Address(f'10.0.0.{number}', PORT)
     place = Locality('r', domain, f'h{number}')
     return Target(TargetId(service, address, 1), place, slots, CONNECTIONS)
+
+
+def _find_share(
+    table: DispatcherTable, now: float, service: str
+) -> float | None:
+    return table.for_service(service).compute_repeats_share(now)
--- a/hillfield/experiments/calling/tests/test_repeats.py
+++ b/hillfield/experiments/calling/tests/test_repeats.py
@@ -8,7 +8,7 @@
 from hillfield.experiments.calling.deployment import Spells, read_deployment
 from hillfield.experiments.calling.play import play
 from hillfield.experiments.calling.repeats import TargetArrival, find_fullest
-from hillfield.model import RepeatBound
+from hillfield.model import UNBOUNDED, RepeatBound
 
 READINGS = read_deployment('readings')
 # Half of all targets fail most requests at once.
@@ -44,4 +44,4 @@
 
 def test_a_fleet_without_a_slack_has_no_bound():
     assert READINGS.bound.slack < inf
-    assert RepeatBound().slack == inf
+    assert UNBOUNDED.slack == inf
--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -1,5 +1,7 @@
 """Decide which requests are sent to the target, wait, or are refused."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final
 
 from msgspec.structs import replace
@@ -13,7 +15,7 @@
 from hillfield.gate.suspicion import SUSPICION_SCORE, score_running
 from hillfield.gate.usage import is_service_call
 from hillfield.gate.waiting import compute_wait_limit, describe_wait
-from hillfield.model import Step, Target, Urgency
+from hillfield.model import RepeatKind, RequestPlan, Step, Target, Urgency
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.records import RequestRecord
 from hillfield.routing.refusals import Cause
@@ -21,6 +23,17 @@
 
 # Seconds after which a refused request may be tried here again.
 RETRY_AFTER_SECONDS: Final = 0.05
+# Share of a called service's slack that has to be left before a run that calls
+# it is repeated: calls of repeats that already run use it, and can't be declined.
+CALLS_RESERVED: Final[Mapping[RepeatKind, float]] = MappingProxyType(
+    {RepeatKind.RETRY: 0.2, RepeatKind.HEDGE: 0.35},
+)
+# Share of the slack that the gates of the service have to have left, on average,
+# before one sends more than its own part: their reports are some tenths of a
+# second old.
+BORROWED: Final[Mapping[RepeatKind, float]] = MappingProxyType(
+    {RepeatKind.RETRY: 0.1, RepeatKind.HEDGE: 0.35},
+)
 
 
 def _build_cause(
@@ -43,6 +56,10 @@
 SUSPECTED: Final = _build_cause('the target is suspected')
 FULL: Final = _build_cause('all slots are taken')
 EXPIRED: Final = _build_cause('no slot was free in time')
+REPEATS_USED: Final = _build_cause(
+    "the service's bound on repeats is used up",
+    EventCode.REPEAT_DECLINED,
+)
 LIMITED: Final = _build_cause('the target takes', EventCode.TARGET_LIMITED)
 OUTRANKED: Final = _build_cause('others go first')
 
@@ -113,6 +130,8 @@
 ) -> Cause | None:
     """Return why the request should not be sent to the target, or None."""
     plan = record.arrival.plan
+    if plan.repeat is not None and not _covers_repeat(state, now, plan):
+        return REPEATS_USED
     if not state.health.admits(now, plan):
         return QUARANTINED
     if plan.idempotent or plan.urgency >= Urgency.ALLOW_SUSPECTED:
@@ -120,6 +139,24 @@
     return SUSPECTED if score_running(state, now) > SUSPICION_SCORE else None
 
 
+def _covers_repeat(state: GateState, now: float, plan: RequestPlan) -> bool:
+    """Return whether the bounds on repeats cover one, and the calls it makes."""
+    kind = plan.repeat
+    if kind is None or kind is RepeatKind.CALL:
+        return True
+    if not state.repeats.admits(now, kind):
+        share = state.find_share(now, plan.service)
+        if share is None or share < BORROWED[kind]:
+            return False
+    shares = (
+        state.find_share(now, service)
+        for service in state.call_parents.list_called(now, plan.route)
+    )
+    return all(
+        share is None or share >= CALLS_RESERVED[kind] for share in shares
+    )
+
+
 def _enqueue(
     state: GateState,
     now: float,
--- a/hillfield/gate/attempts.py
+++ b/hillfield/gate/attempts.py
@@ -5,9 +5,10 @@
 
 from hillfield.crashes import Run, TargetExit
 from hillfield.events import EventCode, Occurrence
+from hillfield.gate.calls import Call
 from hillfield.gate.notices import apply_notice
 from hillfield.gate.reporting import build_report
-from hillfield.gate.state import GateState, RepeatListener
+from hillfield.gate.state import GateState, RepeatListener, ShareSource
 from hillfield.loadreports.reports import LoadReport
 from hillfield.model import TargetId, TargetNotice
 from hillfield.routing.phases import AttemptTrigger
@@ -25,12 +26,39 @@
 ServedListener = Callable[[bytes], None]
 
 
-class AttemptRecorder:
-    """Record attempts at the target, and report its free capacity."""
+class RepeatRecorder:
+    """Record what decides on repeats."""
 
     def __init__(self, state: GateState) -> None:
         """Record in this state."""
         self._state = state
+
+    def count_repeats(self, listener: RepeatListener) -> None:
+        """Call `listener` with each repeat that is sent to the target."""
+        self._state.on_repeat = listener
+
+    def watch_shares(self, source: ShareSource) -> None:
+        """Ask `source` what the gates of a service have left for repeats."""
+        self._state.find_share = source
+
+    def adopt_targets(self, now: float, targets: int) -> None:
+        """Set how many targets of the service share the bound on repeats."""
+        self._state.repeats.adopt_targets(now, targets)
+
+    def record_call(self, now: float, request: str, service: str) -> bool:
+        """Record a request of this host; return if a repeated run made it."""
+        running = tuple(self._state.table.attempts.values())
+        return self._state.call_parents.record_call(
+            now, Call(request, service), running
+        )
+
+
+class AttemptRecorder(RepeatRecorder):
+    """Record attempts at the target, and report its free capacity."""
+
+    def __init__(self, state: GateState) -> None:
+        """Record in this state."""
+        super().__init__(state)
         self._report_number = 0
         self.on_lost: LossListener = _ignore_target
         self.on_replaced: LossListener = _ignore_target
@@ -38,10 +66,6 @@
         self.on_leaving: LeavingListener = _ignore_leaving
         self.on_answer: AnswerListener = _ignore_report
 
-    def count_repeats(self, listener: RepeatListener) -> None:
-        """Call `listener` with each repeat that is sent to the target."""
-        self._state.on_repeat = listener
-
     def record_written(self, now: float, attempt: int) -> None:
         """Record that the attempt's first byte is about to be written."""
         attempt_record = self._state.table.find(attempt)
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -12,11 +12,12 @@
 from hillfield.gate.calls import FailedCalls
 from hillfield.gate.completion import finish
 from hillfield.gate.notices import record_limit_counts
+from hillfield.gate.repeats import RepeatPart
 from hillfield.gate.results import is_success
 from hillfield.gate.serving import IncarnationServing
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import check_running
-from hillfield.model import RequestPlan
+from hillfield.model import UNBOUNDED, RepeatBound, RequestPlan
 from hillfield.routing.phases import RequestTrigger
 from hillfield.routing.requests import (
     Arrival,
@@ -33,13 +34,16 @@
 class Gate(IncarnationServing):
     """Implement `Dispatching` and `Dispatchers` for the target of this host."""
 
-    def __init__(self, journal: Journal) -> None:
+    def __init__(
+        self, journal: Journal, bound: RepeatBound = UNBOUNDED
+    ) -> None:
         """Start without a target; `closing` refuses all new requests.
 
+        `bound` limits the repeats that all targets of the service get.
         `listener` is called after each event that may change the free
         capacity.
         """
-        super().__init__(GateState(journal))
+        super().__init__(GateState(journal, RepeatPart(bound)))
         self.closing = False
         self.listener: GateListener = _ignore
 
@@ -48,11 +52,6 @@
         """Return the record of failed requests that began on this host."""
         return self._state.failed_calls
 
-    def is_called_by_repeat(self, request: str) -> bool:
-        """Return whether a run that is a repeat made the call of this id."""
-        running = tuple(self._state.table.attempts.values())
-        return self._state.call_parents.is_called_by_repeat(request, running)
-
     def for_service(self, service: str) -> 'Gate':
         """Return this gate: it serves only one target."""
         return self
--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -1,15 +1,24 @@
-"""The header by which a node forwards a request to the gate of its target."""
+"""The headers between a node and the gate of the target that it asks."""
 
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
 from expression import Error, Ok, Result
 from msgspec import MsgspecError, Struct
 from msgspec.json import Decoder
+from msgspec.structs import replace
 from tornado.httputil import HTTPHeaders
 
+from hillfield.clocks import monotonic
 from hillfield.events import EventCode
-from hillfield.loadreports import CAPACITY_HEADER, LoadReport, read_capacity
+from hillfield.gate.gate import Gate
+from hillfield.loadreports import (
+    CAPACITY_HEADER,
+    LoadReport,
+    read_capacity,
+    write_capacity,
+)
 from hillfield.model import (
     IncarnationNotice,
     Outcome,
@@ -20,6 +29,7 @@
     Urgency,
     encode_row,
 )
+from hillfield.proxy import ProxySettings
 from hillfield.proxy.dialects import (
     DEADLINE,
     NOT_RUN,
@@ -44,6 +54,7 @@
 STEP: Final = 'Hillfield-Step'
 EVENT: Final = 'Hillfield-Event'
 HELD_BACK_EVENT: Final = str(int(EventCode.TARGET_HELD_BACK))
+REPEAT_DECLINED_EVENT: Final = str(int(EventCode.REPEAT_DECLINED))
 # Steps of a gate before the first byte goes to its target.
 BEFORE_SENDING: Final = frozenset(
     (Step.READ_REQUEST, Step.ROUTE, Step.ADMIT, Step.CONNECT),
@@ -155,6 +166,7 @@
                 f'at step {step}',
                 read_retry_after(headers),
                 lasting=_is_lasting(step, headers),
+                only_repeats=headers.get(EVENT) == REPEAT_DECLINED_EVENT,
             )
         return Shed(read_retry_after(headers))
 
@@ -194,3 +206,19 @@
     incarnation.
     """
     return step == Step.ROUTE or headers.get(EVENT) == HELD_BACK_EVENT
+
+
+def add_capacity_header(settings: ProxySettings, gate: Gate) -> ProxySettings:
+    """Return settings of a request path that reports the gate's capacity."""
+    callers = replace(
+        settings.callers, report_capacity=partial(_write_header, gate)
+    )
+    return replace(settings, callers=callers)
+
+
+def _write_header(gate: Gate) -> str:
+    """Return the header's value; empty: no target to send to."""
+    if gate.closing:
+        return ''
+    report = gate.report_on_answer(monotonic())
+    return '' if report is None else write_capacity(report)
--- a/hillfield/gate/reporting.py
+++ b/hillfield/gate/reporting.py
@@ -7,12 +7,14 @@
     count_usable_slots,
     estimate_wait,
 )
+from hillfield.gate.repeats import LARGEST_SHARE
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import SUSPICION_SCORE, score_running
 from hillfield.loadreports.reports import LoadReport, WithheldWork
 
 # Decimal digits of reported seconds: a millisecond changes no decision.
 WAIT_DIGITS: Final = 3
+REPEATS_DIGITS: Final = 1
 
 
 def build_report(
@@ -38,9 +40,15 @@
         0 if free else round(estimate_wait(state, now, target), WAIT_DIGITS),
         count_usable_slots(state, target),
         state.build_notice(),
+        _find_repeats(state, now),
     )
 
 
+def _find_repeats(state: GateState, now: float) -> float | None:
+    share = state.repeats.compute_share(now)
+    return None if share >= LARGEST_SHARE else round(share, REPEATS_DIGITS)
+
+
 def _report_leaving(state: GateState, number: int) -> LoadReport | None:
     """Report no capacity for an incarnation that leaves."""
     if state.departing is None:
--- a/hillfield/gate/state.py
+++ b/hillfield/gate/state.py
@@ -7,11 +7,11 @@
 from hillfield.crashes import LostRuns
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.gate.ages import AgeReliability
-from hillfield.gate.calls import FailedCalls
 from hillfield.gate.health import AttemptResult, HealthScore
 from hillfield.gate.limit import RateLimit
-from hillfield.gate.parents import CallParents
+from hillfield.gate.calls import CallParents, FailedCalls
 from hillfield.gate.queue import GateQueue
+from hillfield.gate.repeats import RepeatPart
 from hillfield.gate.served import ServedIncarnation
 from hillfield.gate.usage import AccountUsage, is_service_call
 from hillfield.model import (
@@ -32,12 +32,19 @@
 
 # Called with the service and the kind of each repeat that is sent.
 RepeatListener = Callable[[str, str], None]
+# Returns what the gates of a service have left of its bound on repeats on
+# average, in parts of the slack; None: unknown.
+ShareSource = Callable[[float, str], float | None]
 
 
 def _ignore_repeat(service: str, kind: str) -> None:
     """Ignore the repeat."""
 
 
+def _find_no_share(now: float, service: str) -> None:
+    """Return None: nothing is known of other gates."""
+
+
 @dataclass(slots=True)
 class GateState:
     """Hold what the gate decides with.
@@ -48,6 +55,7 @@
     """
 
     journal: Journal
+    repeats: RepeatPart
     serving: ServedIncarnation | None = None
     departing: ServedIncarnation | None = None
     health: HealthScore = field(default_factory=HealthScore)
@@ -62,6 +70,7 @@
     usage: AccountUsage = field(default_factory=AccountUsage)
     displaced: list[Refuse] = field(default_factory=list)
     on_repeat: RepeatListener = _ignore_repeat
+    find_share: ShareSource = _find_no_share
     call_parents: CallParents = field(default_factory=CallParents)
 
     @property
@@ -140,6 +149,7 @@
         self.health.record_start(now)
         self.limit.consume(now)
         plan = record.arrival.plan
+        self.repeats.record(now, plan.repeat)
         if plan.repeat is not None:
             _record_repeat(self, record, target, plan.repeat)
         if not is_service_call(plan):
--- a/hillfield/gate/tests/test_gate.py
+++ b/hillfield/gate/tests/test_gate.py
@@ -475,3 +475,15 @@
     gate.admit(0, Arrival('h', plan, 5, True))
     gate.admit(0, Arrival('f', resolve(gate).ok, 5, True))
     assert told == [('refunds', 'hedge')]
+
+
+def test_a_decline_of_a_repeat_is_told_from_others():
+    headers = HTTPHeaders(
+        {
+            'Hillfield-Outcome': 'not-run',
+            'Hillfield-Step': 'admit',
+            'Hillfield-Event': str(int(EventCode.REPEAT_DECLINED)),
+        },
+    )
+    declined = HopDialect().read_failure(503, headers)
+    assert declined == Declined('at step admit', only_repeats=True)
--- a/hillfield/gate/tests/test_headers.py
+++ b/hillfield/gate/tests/test_headers.py
@@ -5,7 +5,7 @@
 
 from hillfield.events import ListJournal
 from hillfield.gate import Gate, HopDialect, ServedIncarnation
-from hillfield.gate.headers import add_capacity_header
+from hillfield.gate.hop import add_capacity_header
 from hillfield.loadreports import WithheldWork, read_capacity
 from hillfield.model import (
     Address,
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -77,14 +77,14 @@
 class HostRuns(Protocol):
     """Tell what the target of this host runs."""
 
-    def is_called_by_repeat(self, request: str) -> bool:
-        """Return whether a repeated run made the call of this id."""
+    def record_call(self, now: float, request: str, service: str) -> bool:
+        """Record a request of this host; return if a repeated run made it."""
 
 
 class NoRuns:
     """Know of no runs."""
 
-    def is_called_by_repeat(self, request: str) -> bool:
+    def record_call(self, now: float, request: str, service: str) -> bool:
         """Return False."""
         return False
 
@@ -191,9 +191,7 @@
         wait = self.quotas.ask(account)
         if wait:
             return Error(refuse_quota(account.name, wait))
-        return Ok(
-            self._plan(route, account, _find_repeat(self.runs, account, head))
-        )
+        return Ok(self._plan(route, account, head.request))
 
     def policy(self, service: str) -> ServicePolicy | None:
         """Return the policy of a service, if a route leads there."""
@@ -218,13 +216,19 @@
         self,
         route: HostRoute,
         account: FleetAccount,
-        repeat: RepeatKind | None,
+        request: str,
     ) -> RequestPlan:
         settings = self._settings
         checks = settings.safe_checks if route.idempotent else settings.checks
         adoption = self._adoptions[route.name]
+        service = route.draw_service(self._random)
+        repeat = None
+        if not account.name and self.runs.record_call(
+            monotonic(), request, service
+        ):
+            repeat = RepeatKind.CALL
         return RequestPlan(
-            route.draw_service(self._random),
+            service,
             route.name,
             account.name,
             route.idempotent,
@@ -243,16 +247,6 @@
         self._journal.record(Occurrence(code, step='adopt', detail=detail))
 
 
-def _find_repeat(
-    runs: HostRuns, account: FleetAccount, head: RequestHead
-) -> RepeatKind | None:
-    """Return `CALL` for a call of a run that is itself a repeat."""
-    if account.name:
-        return None
-    called = runs.is_called_by_repeat(head.request)
-    return RepeatKind.CALL if called else None
-
-
 def _identify(
     index: RouteIndex,
     route: HostRoute,
--- a/hillfield/hostroutes/tests/test_planner.py
+++ b/hillfield/hostroutes/tests/test_planner.py
@@ -235,7 +235,7 @@
 
 
 class Runs:
-    def is_called_by_repeat(self, request):
+    def record_call(self, now, request, service):
         return request.startswith('repeated')
 
 
--- a/hillfield/loadreports/fields.py
+++ b/hillfield/loadreports/fields.py
@@ -27,6 +27,7 @@
     wait: float = 0
     usable: int = 0
     notice: IncarnationNotice | None = None
+    repeats: float | None = None
 
 
 _DECODER: Final = Decoder(_CapacityField)
@@ -47,6 +48,7 @@
         report.wait,
         report.usable,
         report.notice,
+        report.repeats,
     )
     return encode_row(field).decode()
 
@@ -83,4 +85,5 @@
         field.wait,
         field.usable,
         field.notice,
+        field.repeats,
     )
--- a/hillfield/loadreports/pacing.py
+++ b/hillfield/loadreports/pacing.py
@@ -45,6 +45,8 @@
 RESERVED_REPORTS: Final = 1
 # Queue lengths in rounds of the slots that are distinguished.
 MAXIMUM_ROUNDS: Final = 3
+# Steps of what is left of the bound on repeats that are distinguished.
+REPEAT_STEPS: Final = 4
 
 
 class _Importance(Enum):
@@ -71,13 +73,19 @@
     rounds: int
     held: WithheldWork
     sent_at: float
+    repeats: int = REPEAT_STEPS
     times: int = 1
     outdated: bool = False
 
     def differs(self, other: '_SentState') -> bool:
         """Return whether a choice depends on which of the two applies."""
-        own = (self.has_capacity, self.rounds, self.held)
-        return own != (other.has_capacity, other.rounds, other.held)
+        own = (self.has_capacity, self.rounds, self.held, self.repeats)
+        return own != (
+            other.has_capacity,
+            other.rounds,
+            other.held,
+            other.repeats,
+        )
 
 
 class ReportPacer:
@@ -155,9 +163,16 @@
         min(MAXIMUM_ROUNDS, rounds),
         report.held,
         now,
+        _count_steps(report.repeats),
     )
 
 
+def _count_steps(repeats: float | None) -> int:
+    if repeats is None:
+        return REPEAT_STEPS
+    return max(0, int(repeats * REPEAT_STEPS))
+
+
 def _rank_change(sent: _SentState | None, state: _SentState) -> _Importance:
     """Return what a change is worth to the nodes that choose."""
     if sent is None or sent.held != state.held:
--- a/hillfield/loadreports/reports.py
+++ b/hillfield/loadreports/reports.py
@@ -29,7 +29,8 @@
     the gate withholds, `wait` the seconds until one more usual request would
     begin (0 where a slot is free), `usable` the slots that do useful work now
     (0: not reported), `notice` what the target says about itself (None:
-    nothing).
+    nothing), `repeats` what is left of its part of the bound on repeats, in
+    parts of the slack (None: enough).
     """
 
     service: str
@@ -43,6 +44,7 @@
     wait: float = 0
     usable: int = 0
     notice: IncarnationNotice | None = None
+    repeats: float | None = None
 
     @property
     def target(self) -> TargetId:
--- a/hillfield/model/__init__.py
+++ b/hillfield/model/__init__.py
@@ -8,6 +8,7 @@
 )
 from hillfield.model.outcomes import Outcome, RequestFailure, Step
 from hillfield.model.plans import (
+    UNBOUNDED,
     AnswerChecks,
     RepeatBound,
     RepeatKind,
@@ -35,6 +36,7 @@
     'TargetId',
     'TargetNotice',
     'TargetState',
+    'UNBOUNDED',
     'Urgency',
     'encode_row',
     'is_struct',
--- a/hillfield/model/plans.py
+++ b/hillfield/model/plans.py
@@ -2,6 +2,7 @@
 
 from enum import IntEnum
 from math import inf
+from typing import Final
 
 from msgspec import Struct
 
@@ -94,6 +95,9 @@
     window: float = 10
 
 
+UNBOUNDED: Final = RepeatBound()
+
+
 class ServicePolicy(Struct, frozen=True):
     """Say how all traffic of one service is treated.
 
--- a/hillfield/node/adapterparts.py
+++ b/hillfield/node/adapterparts.py
@@ -11,7 +11,7 @@
 from hillfield.fleet.store_feed import FeedSettings
 from hillfield.gate.incarnations import IncarnationTracker
 from hillfield.hostroutes import HostPlanner
-from hillfield.model import Address, AnswerChecks
+from hillfield.model import Address, AnswerChecks, RepeatBound
 from hillfield.node.dispatchers import DispatcherRegistry
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts, Recording
@@ -36,13 +36,15 @@
     """Hold the parts that a platform's adapter provides.
 
     `callers` and `hops` are the settings of the two servers, `checks` detect
-    wrong answers of the target. `reports`, `quotas` and `crashes` are the
+    wrong answers of the target. `repeats` bounds the repeats of each service over
+    all nodes. `reports`, `quotas` and `crashes` are the
     addresses for datagrams with load reports, usage of accounts and findings
     on crashing requests (the same ports on all hosts). `relay` sets how the
     store is watched, `make_listeners` builds further listeners.
     """
 
     planner: HostPlanner
+    repeats: RepeatBound
     store: OpenStore
     callers: ProxySettings
     hops: ProxySettings
--- a/hillfield/node/dispatchers.py
+++ b/hillfield/node/dispatchers.py
@@ -106,6 +106,13 @@
         dispatcher.adopt_report(now, report)
         return dispatcher.poll(now) if report.free > 0 else ()
 
+    def compute_repeats_share(self, now: float, service: str) -> float | None:
+        """Return what gates have left of a service's bound on repeats."""
+        dispatcher = self.table.find(service)
+        if dispatcher is None:
+            return None
+        return dispatcher.compute_repeats_share(now)
+
     def _set_up(self, service: str) -> None:
         self._known[service] = frozenset()
         self._adopt_policy(service)
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -82,7 +82,7 @@
         fittings: AdapterParts,
     ) -> None:
         """Build the parts; nothing is opened before `start`."""
-        self.gate = Gate(recording.journal)
+        self.gate = Gate(recording.journal, fittings.repeats)
         self.gate.count_repeats(recording.metrics.record_repeat)
         meter = CallMeter(recording.metrics, self.gate.failed_calls)
         self.crashes = build_crash_exchange(
@@ -118,6 +118,7 @@
         self._gate_ticking: ScheduledCall | None = None
         fittings.planner.listener = self._adopt_table
         fittings.planner.runs = self.gate
+        self.gate.watch_shares(parts.dispatchers.compute_repeats_share)
 
     async def abandon(self) -> None:
         """Stop at once, as in a crash; nothing is finished or announced."""
--- a/hillfield/node/reporting.py
+++ b/hillfield/node/reporting.py
@@ -70,6 +70,7 @@
 
     def send_reports(self, now: float) -> None:
         """Send the present load to the nodes for which a report is due."""
+        self._count_targets(now)
         report = self._gate.report(now)
         if report is None:
             return
@@ -83,6 +84,13 @@
         if self._pacer.is_due_far(now, report):
             self.socket.send(self._codec.seal(report), recipients.remote_relays)
 
+    def _count_targets(self, now: float) -> None:
+        """Tell the gate how many targets share the bound on repeats."""
+        serving = self._gate.serving
+        if self._core is not None and serving is not None:
+            targets = self._core.view.targets_of(serving.target.id.service)
+            self._gate.adopt_targets(now, len(targets))
+
     def _get_recipients(self, now: float) -> ReportRecipients:
         core = self._core
         if (
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -1,5 +1,6 @@
 """Read the settings file that the platform writes."""
 
+from math import inf
 from pathlib import Path
 from typing import Final
 
@@ -7,7 +8,7 @@
 from msgspec import DecodeError, Struct, ValidationError, field
 from msgspec.json import decode
 
-from hillfield.model import Address, Locality, parse_address
+from hillfield.model import Address, Locality, RepeatBound, parse_address
 from hillfield.settings import (
     AnnouncementSettings,
     LimitSettings,
@@ -36,6 +37,7 @@
 GRACE: Final = 6.0
 BYTES_OF_A_MEGABYTE: Final = 1_000_000
 RETRY_RATIO: Final = 0.2
+RETRY_WINDOW: Final = 10.0
 FLOOR: Final = 0.7
 
 
@@ -91,7 +93,7 @@
     """Hold what a node learns from the file.
 
     `grace` is the seconds between the platform's request to stop and the
-    end, `retry_ratio` the repeats a request of the whole fleet, `floor` the
+    end, `repeats` bounds those of the whole fleet, `floor` the
     least share of a service's sound targets to be used, `memory` the bytes
     that the process may take (None: not told).
     """
@@ -105,7 +107,7 @@
     quotas: Address
     crashes: Address
     grace: float
-    retry_ratio: float
+    repeats: RepeatBound
     floor: float
     memory: int | None
 
@@ -137,7 +139,11 @@
         quotas=Address(wire.ip, wire.internal_ports[0] + QUOTAS),
         crashes=Address(wire.ip, wire.internal_ports[0] + CRASHES),
         grace=wire.bound('graceS', GRACE),
-        retry_ratio=wire.bound('retryBudgetRatio', RETRY_RATIO),
+        repeats=RepeatBound(
+            wire.bound('retryBudgetRatio', RETRY_RATIO),
+            wire.bound('retryBudgetSlack', inf),
+            wire.bound('retryWindowS', RETRY_WINDOW),
+        ),
         floor=wire.bound('floorShare', FLOOR),
         memory=_read_memory(wire.limits),
     )
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -94,6 +94,7 @@
         """Return what the platform brings to a node."""
         return AdapterParts(
             planner=make_planner(self._boot, self._recording),
+            repeats=self._boot.repeats,
             store=self._make_store(),
             callers=self._make_caller_settings(),
             hops=self._make_hop_settings(),
@@ -179,7 +180,7 @@
 
 def make_planner(boot: Boot, recording: Recording) -> HostPlanner:
     """Return the planner of a host's requests."""
-    policy = make_policy(boot.retry_ratio, boot.floor)
+    policy = make_policy(boot.repeats.ratio, boot.floor)
     return HostPlanner(
         PlannerSettings(KEY, boot.service, policy, ONCE, REPEATABLE),
         read_routes,
--- a/hillfield/platform/tests/test_boot.py
+++ b/hillfield/platform/tests/test_boot.py
@@ -1,11 +1,13 @@
-"""What a node learns of its memory."""
+"""What a node learns of its memory and of the bound on repeats."""
 
 # Tests are untyped.
 # mypy: disable-error-code="no-untyped-call"
 
 import json
+from math import inf
 from types import MappingProxyType
 
+from hillfield.model import RepeatBound
 from hillfield.platform.boot import read_boot
 
 SETTINGS = MappingProxyType(
@@ -25,10 +27,14 @@
 )
 
 
-def read_memory(tmp_path, limits):
+def read(tmp_path, **changed):
     place = tmp_path / 'boot.json'
-    place.write_text(json.dumps({**SETTINGS, 'limits': limits}))
-    return read_boot(place).ok.memory
+    place.write_text(json.dumps({**SETTINGS, **changed}))
+    return read_boot(place).ok
+
+
+def read_memory(tmp_path, limits):
+    return read(tmp_path, limits=limits).memory
 
 
 def test_memory_is_told_in_megabytes(tmp_path):
@@ -37,3 +43,12 @@
 
 def test_memory_that_is_not_told_is_not_bounded(tmp_path):
     assert read_memory(tmp_path, {'maxFds': 4100}) is None
+
+
+def test_the_bound_on_repeats_is_read_whole(tmp_path):
+    bounds = ['retryBudgetRatio=0.3', 'retryBudgetSlack=56', 'retryWindowS=5']
+    assert read(tmp_path, bounds=bounds).repeats == RepeatBound(0.3, 56, 5)
+
+
+def test_without_a_slack_repeats_are_not_bounded_over_the_fleet(tmp_path):
+    assert read(tmp_path).repeats.slack == inf
--- a/hillfield/routing/capacity.py
+++ b/hillfield/routing/capacity.py
@@ -1,6 +1,7 @@
 """Free capacity of a service's targets as their gates report it."""
 
 from dataclasses import dataclass
+from statistics import fmean
 from typing import Final
 
 from hillfield.loadreports.reports import LoadReport, WithheldWork
@@ -8,6 +9,10 @@
 
 # Seconds for which a report counts; gates repeat it after 10 s at the latest.
 REPORT_LIFETIME: Final = 12.0
+# What a gate has left that names nothing, in parts of the slack.
+ENOUGH: Final[float] = 2
+# Seconds between two searches for reports that have expired.
+SEARCH_INTERVAL: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -155,3 +160,47 @@
         ]
         for target in over:
             self._capacities.pop(target)
+
+
+class RepeatShares:
+    """Hold the newest share of each gate.
+
+    >>> shares = RepeatShares()
+    >>> shares.compute_mean(0) is None
+    True
+    >>> shares.record(0, LoadReport('fees', '10.0.0.1', 80, 7, 1, 1, repeats=0.5))
+    >>> shares.record(0, LoadReport('fees', '10.0.0.2', 80, 7, 1, 1))
+    >>> shares.compute_mean(1)
+    1.25
+    """
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._reports: dict[TargetId, tuple[float, LoadReport]] = {}
+        self._searched_at: float = 0
+
+    def record(self, now: float, report: LoadReport) -> None:
+        """Store a gate's report unless a newer one is known."""
+        known = self._reports.get(report.target)
+        if known is None or known[1].number <= report.number:
+            self._reports[report.target] = (now, report)
+
+    def compute_mean(self, now: float) -> float | None:
+        """Return the mean share; None if no gate has reported lately."""
+        self._drop_expired(now)
+        if not self._reports:
+            return None
+        return fmean(
+            ENOUGH if report.repeats is None else report.repeats
+            for _, report in self._reports.values()
+        )
+
+    def _drop_expired(self, now: float) -> None:
+        if now - self._searched_at < SEARCH_INTERVAL:
+            return
+        self._searched_at = now
+        self._reports = {
+            target: (received, report)
+            for target, (received, report) in self._reports.items()
+            if now - received <= REPORT_LIFETIME
+        }
--- a/hillfield/routing/classification.py
+++ b/hillfield/routing/classification.py
@@ -31,7 +31,7 @@
     `status` is the status of the answer to the caller if the request may have
     run. `same_target` says whether the same target may be tried again if no
     other is in rotation, `failed` whether the attempt is a failure of the
-    target.
+    target, `only_repeats` whether its gate declined it as a repeat.
     """
 
     trigger: AttemptTrigger
@@ -42,6 +42,7 @@
     retry_after: float | None = None
     same_target: bool = True
     failed: bool = True
+    only_repeats: bool = False
 
 
 @singledispatch
@@ -82,6 +83,7 @@
         retry_after=observation.retry_after,
         same_target=False,
         failed=False,
+        only_repeats=observation.only_repeats,
     )
 
 
--- a/hillfield/routing/feedback.py
+++ b/hillfield/routing/feedback.py
@@ -47,7 +47,10 @@
         service.capacities.count_ended(identity)
     _record_duration(service, now, attempt, classification)
     service.selector.record_ended(now, identity, seconds, classification.failed)
-    if _should_pause(service, attempt, classification):
+    only_repeats = (
+        isinstance(observation, Declined) and observation.only_repeats
+    )
+    if not only_repeats and _should_pause(service, attempt, classification):
         service.selector.pause(now, identity)
     if isinstance(observation, Declined) and observation.lasting:
         service.recent_declines.record(now, identity)
@@ -60,6 +63,7 @@
 def apply_report(service: ServiceState, now: float, report: LoadReport) -> None:
     """Store a gate's report; end the target's pause if it has free slots."""
     service.capacities.record_report(now, report)
+    service.repeat_shares.record(now, report)
     if report.notice is not None:
         service.notices.record(now, report.target.address, report.notice)
     load = service.selector.loads.get(report.target)
--- a/hillfield/routing/progress.py
+++ b/hillfield/routing/progress.py
@@ -14,6 +14,10 @@
         self.detector = service.detector
         self._service = service
 
+    def compute_repeats_share(self, now: float) -> float | None:
+        """Return what gates have left of the bound on repeats, if known."""
+        return self._service.repeat_shares.compute_mean(now)
+
     def record_written(self, now: float, attempt: int) -> None:
         """Record that the attempt's first byte is about to be written."""
         found = self._service.table.find(attempt)
--- a/hillfield/routing/records.py
+++ b/hillfield/routing/records.py
@@ -33,7 +33,7 @@
     says whether any byte of it was written; after that it can be sent again
     only if its complete body is buffered. `unsent_attempts` counts attempts
     that ended before a byte was written, `declined_by` lists the targets whose
-    gates declined it, `started` is when it was admitted, `queue_order` its
+    gates declined it, `declined_repeats` how often as a repeat, `started` is when it was admitted, `queue_order` its
     position among waiting requests.
     """
 
@@ -47,6 +47,7 @@
     any_written: bool = False
     unsent_attempts: int = 0
     declined_by: tuple[TargetId, ...] = ()
+    declined_repeats: int = 0
     started: float | None = None
     queue_order: QueueOrder = QueueOrder()
 
--- a/hillfield/routing/recovery.py
+++ b/hillfield/routing/recovery.py
@@ -73,6 +73,7 @@
     record.peer = str(attempt.target.id.address)
     record.any_written |= written
     record.unsent_attempts += classification.trigger in UNSENT_TRIGGERS
+    record.declined_repeats += classification.only_repeats
     if classification.trigger is AttemptTrigger.DECLINED:
         record.declined_by = (*record.declined_by, attempt.target.id)
     return _continue(service, now, record, classification)
@@ -87,7 +88,8 @@
     if record.live:
         # The other attempt may still be answered.
         again = None
-        if classification.trigger is AttemptTrigger.DECLINED:
+        declined = classification.trigger is AttemptTrigger.DECLINED
+        if declined and not classification.only_repeats:
             again = replace_declined(service, now, record)
         return again or Wait(record.arrival.request)
     if record.any_written and not record.arrival.replayable:
--- a/hillfield/routing/retries.py
+++ b/hillfield/routing/retries.py
@@ -14,6 +14,9 @@
         AttemptTrigger.NOTHING_WRITTEN,
     ),
 )
+# Gates that are asked to take a repeat before it is given up: each knows its own
+# part of the bound alone.
+GATES_ASKED: Final = 4
 
 
 def charge_retry(
@@ -25,6 +28,8 @@
     """Charge the budget for a retry; return why it is refused, if it is."""
     if not _may_repeat(record):
         return 'no attempt is left'
+    if record.declined_repeats >= GATES_ASKED:
+        return "the service's bound on repeats is used up"
     if now + service.estimate_retry(record) >= record.arrival.expires:
         return 'no time is left'
     if not _consume_budget(service, record, classification):
--- a/hillfield/routing/service.py
+++ b/hillfield/routing/service.py
@@ -17,7 +17,7 @@
     TargetId,
 )
 from hillfield.routing.budgets import RateLimiter, RetryBudget
-from hillfield.routing.capacity import CapacityTable
+from hillfield.routing.capacity import CapacityTable, RepeatShares
 from hillfield.routing.departures import DepartureIntervals
 from hillfield.routing.durations import RouteDurations
 from hillfield.routing.notices import ReceivedNotices
@@ -77,6 +77,7 @@
     durations: RouteDurations = field(default_factory=RouteDurations)
     capacities: CapacityTable = field(default_factory=CapacityTable)
     notices: ReceivedNotices = field(default_factory=ReceivedNotices)
+    repeat_shares: RepeatShares = field(default_factory=RepeatShares)
     scanned_at: float = 0
     without_target_since: float | None = None
 
--- a/hillfield/routing/tests/test_hedging.py
+++ b/hillfield/routing/tests/test_hedging.py
@@ -22,9 +22,11 @@
     Answered,
     Arrival,
     CallerGone,
+    Refuse,
     Send,
     Wait,
 )
+from hillfield.routing.retries import GATES_ASKED
 
 HERE = Locality('r', 'a', 'h')
 CALL = RequestPlan('s', 'call', '', True, 1.5, maximum_attempts=2, aim=0.4)
@@ -196,3 +198,23 @@
     first = send(dispatcher, 'r')
     again = dispatcher.finish(0.1, first.attempt, Declined('full'))
     assert again.repeat is None
+
+
+def test_a_repeat_that_gates_decline_is_given_up_after_a_few():
+    dispatcher = make_dispatcher(targets=12)
+    sent = send(dispatcher, 'r')
+    again = dispatcher.finish(1, sent.attempt, Answered(500, wrong='status'))
+    asked = 0
+    while isinstance(again, Send):
+        asked += 1
+        used = Declined('used up', only_repeats=True)
+        again = dispatcher.finish(1, again.attempt, used)
+    assert isinstance(again, Refuse)
+    assert asked == GATES_ASKED
+
+
+def test_a_gate_that_declines_only_repeats_keeps_its_first_arrivals():
+    dispatcher = make_dispatcher(targets=1)
+    sent = send(dispatcher, 'r')
+    dispatcher.finish(1, sent.attempt, Declined('used up', only_repeats=True))
+    assert isinstance(send(dispatcher, 's', 1), Send)
