Show how far a service is from the fleet's bound on repeats

An operator could not see the distance, nor what used the bound up. hillfield_repeats_left is the mean of what the gates tell to have left; explain shows it too.

--- a/hillfield/hostroutes/node_policy.py
+++ b/hillfield/hostroutes/node_policy.py
@@ -4,15 +4,12 @@
 
 from hillfield.model import ServicePolicy
 
-# Share of the fleet's retry ratio that nodes may use. The rest is left for the
-# calls that a repeated request makes in turn, which count as repeats too.
+# Share of the fleet's retry ratio that one node may use of its own requests.
 RETRY_BUDGET_SHARE: Final = 0.8
 # Token bucket of one node's repeats, shared by retries and hedges: its size and
-# the tokens added per second. Per 10 s a fleet of 30 hosts may send about 60
-# repeats and a fifth of its requests (56 with 21 hosts, 64 with 31, 204 with
-# 99). If all requests of 30 nodes hang, each node sends three repeats in 10 s,
-# and none once the gates withhold work. In a model, a service gets at most 81
-# repeats in 10 s while targets hang.
+# the tokens added per second. It bounds what one node asks of others while
+# nothing is answered. The nodes' budgets add up to more than the fleet's bound,
+# which the gates keep.
 RETRY_BURST: Final = 2.0
 RETRY_RATE: Final = 0.1
 # Seconds of answered requests for which repeats are saved on top: none, since
--- a/hillfield/metrics/__init__.py
+++ b/hillfield/metrics/__init__.py
@@ -6,6 +6,7 @@
     LinkReading,
     NodeReading,
     ReadingSource,
+    RepeatsReading,
     TargetCount,
 )
 
@@ -15,5 +16,6 @@
     'NodeMetrics',
     'NodeReading',
     'ReadingSource',
+    'RepeatsReading',
     'TargetCount',
 )
--- a/hillfield/metrics/gauges.py
+++ b/hillfield/metrics/gauges.py
@@ -16,9 +16,12 @@
     LinkReading,
     NodeReading,
     ReadingSource,
+    RepeatsReading,
     TargetCount,
 )
 
+# Label of most families.
+SERVICE: Final = 'service'
 UNLABELLED_GAUGES: Final = (
     ('members', 'Live nodes as seen by this node.'),
     ('configuration_revision', 'Newest revision in force at this node.'),
@@ -48,6 +51,7 @@
         yield _make_targets(reading.targets)
         yield from _make_links(reading.links)
         yield from _make_limits(reading.limits)
+        yield _make_repeats(reading.repeats)
 
     def describe(self) -> list[Metric]:
         """Return nothing; names are checked when metrics are collected."""
@@ -64,7 +68,7 @@
     family = GaugeMetricFamily(
         'hillfield_targets',
         'Targets by service and state as seen by this node.',
-        labels=('service', 'state'),
+        labels=(SERVICE, 'state'),
     )
     for each in counts:
         family.add_metric((each.service, each.state), each.count)
@@ -89,16 +93,28 @@
     yield queues
 
 
+def _make_repeats(readings: tuple[RepeatsReading, ...]) -> Metric:
+    family = GaugeMetricFamily(
+        'hillfield_repeats_left',
+        "What a service's gates have left of the fleet's bound on repeats, on "
+        'average and in parts of the slack; at 0 the bound is used up.',
+        labels=(SERVICE,),
+    )
+    for reading in readings:
+        family.add_metric((reading.service,), reading.left)
+    return family
+
+
 def _make_limits(limits: tuple[LimitReading, ...]) -> Iterator[Metric]:
     targets = GaugeMetricFamily(
         'hillfield_limited_targets',
         'Targets that name a rate limit.',
-        labels=('service',),
+        labels=(SERVICE,),
     )
     rates = GaugeMetricFamily(
         'hillfield_limited_rate',
         'Sum of the rate limits of these targets, in requests a second.',
-        labels=('service',),
+        labels=(SERVICE,),
     )
     for limit in limits:
         targets.add_metric((limit.service,), limit.targets)
--- a/hillfield/metrics/readings.py
+++ b/hillfield/metrics/readings.py
@@ -25,6 +25,16 @@
     rate: float
 
 
+class RepeatsReading(Struct, frozen=True):
+    """Hold what a service's gates have left of its bound on repeats.
+
+    `left` is the mean over the gates in parts of the slack.
+    """
+
+    service: str
+    left: float
+
+
 class LinkReading(Struct, frozen=True):
     """Say whether the link to a peer is up; `queued` is in bytes."""
 
@@ -44,6 +54,7 @@
     targets: tuple[TargetCount, ...] = ()
     links: tuple[LinkReading, ...] = ()
     limits: tuple[LimitReading, ...] = ()
+    repeats: tuple[RepeatsReading, ...] = ()
     members: int = 0
     configuration_revision: int = 0
     configuration_age: float = 0
--- a/hillfield/node/reading.py
+++ b/hillfield/node/reading.py
@@ -12,6 +12,7 @@
     LimitReading,
     LinkReading,
     NodeReading,
+    RepeatsReading,
     TargetCount,
 )
 from hillfield.node.page import NodePage
@@ -39,6 +40,7 @@
                 LinkReading(str(link.address), link.up) for link in core.links
             ),
             limits=tuple(sum_limits(explained)),
+            repeats=tuple(list_repeats(explained)),
             members=len(core.state_table.alive),
             configuration_revision=digest.newest,
             configuration_age=time() - self._page.adopted_at,
@@ -81,3 +83,12 @@
         rates = [rate for rate in reported if rate is not None]
         if rates:
             yield LimitReading(routing.service, len(rates), sum(rates))
+
+
+def list_repeats(
+    explained: tuple[RoutingExplanation, ...],
+) -> Iterator[RepeatsReading]:
+    """Return what is left of the bound on repeats, where gates report it."""
+    for routing in explained:
+        if routing.repeats_left is not None:
+            yield RepeatsReading(routing.service, routing.repeats_left)
--- a/hillfield/routing/explanations.py
+++ b/hillfield/routing/explanations.py
@@ -24,7 +24,11 @@
 
 
 class RoutingExplanation(Struct, frozen=True):
-    """Show a service's queue, budgets, counters and targets at this node."""
+    """Show a service's queue, budgets, counters and targets at this node.
+
+    `repeats_left` is what the service's gates have left of the fleet's bound on
+    repeats, on average and in parts of the slack (None: no gate has reported).
+    """
 
     service: str
     queued: int
@@ -42,6 +46,7 @@
     loads: tuple[LoadExplanation, ...]
     health: tuple[TargetExplanation, ...]
     rooms: tuple[CapacityExplanation, ...] = ()
+    repeats_left: float | None = None
 
 
 def explain_service(service: ServiceState, now: float) -> RoutingExplanation:
@@ -65,6 +70,7 @@
         loads=tuple(map(_explain_load, service.selector.loads.values())),
         health=service.detector.explain(now),
         rooms=explain_capacities(service, now),
+        repeats_left=service.repeat_shares.compute_mean(now),
     )
 
 
