Let a gate go beyond its part of the bound on repeats by one part at most

What a gate knows of the others' parts may be as old as the last report that reached it (12 s), so one that is cut off could have sent repeats as if all of them had theirs left.

--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -28,6 +28,9 @@
 CALLS_RESERVED: Final[Mapping[RepeatKind, float]] = MappingProxyType(
     {RepeatKind.RETRY: 0.2, RepeatKind.HEDGE: 0.35},
 )
+# Parts of the slack that a gate may borrow: what it knows of the others may be as
+# old as the last report that reached it.
+LARGEST_LOAN: Final[float] = 1
 # Share of the slack that the gates of the service have to have left, on average,
 # before one sends more than its own part: their reports are some tenths of a
 # second old.
@@ -148,6 +151,8 @@
         share = state.find_share(now, plan.service)
         if share is None or share < BORROWED[kind]:
             return False
+        if state.repeats.compute_share(now) <= -LARGEST_LOAN:
+            return False
     shares = (
         state.find_share(now, service)
         for service in state.call_parents.list_called(now, plan.route)
