--- a/hillfield/gate/reporting.py
+++ b/hillfield/gate/reporting.py
@@ -17,9 +17,6 @@
 REPEATS_DIGITS: Final = 1
 # Parts of the slack that trials of a quarantined target leave to other repeats.
 TRIALS_RESERVED: Final = 0.75
-# Seconds without a trial after which one is due all the same: targets fail for
-# about as long at a time.
-SCARCE_TRIAL_DELAY: Final = 5.0
 
 
 def build_report(
@@ -71,17 +68,11 @@
     )
 
 
-def _covers_trial(state: GateState, now: float) -> bool:
-    """Return whether the bounds on repeats cover a trial: most of them fail.
-
-    One that has succeeded is followed by others at once, and without any a
-    target that is well again would stay in quarantine.
-    """
+def _covers_trials(state: GateState, now: float) -> bool:
+    """Return whether the bounds on repeats cover trials: most of them fail."""
     target = state.target
-    health = state.health
-    last = max(health.changed_at, health.last_trial)
-    if health.successes or now - last >= SCARCE_TRIAL_DELAY or target is None:
-        return True
+    if target is None:
+        return False
     services = (target.id.service, *state.call_parents.list_all_called(now))
     shares = (state.find_share(now, service) for service in services)
     return all(share is None or share >= TRIALS_RESERVED for share in shares)
@@ -89,7 +80,9 @@
 
 def _find_withheld(state: GateState, now: float) -> WithheldWork:
     if state.health.quarantined:
-        trial_due = state.health.is_trial_due(now) and _covers_trial(state, now)
+        trial_due = state.health.is_trial_due(now) and _covers_trials(
+            state, now
+        )
         return WithheldWork.USUAL if trial_due else WithheldWork.ALL
     suspected = score_running(state, now) > SUSPICION_SCORE
     return WithheldWork.ONCE if suspected else WithheldWork.NOTHING
