--- a/hillfield/gate/calls.py
+++ b/hillfield/gate/calls.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Sequence
-from itertools import chain
 from typing import Final
 
 from msgspec import Struct
@@ -99,11 +98,6 @@
             if now - moment < CALLED_SECONDS
         )
 
-    def list_all_called(self, now: float) -> tuple[str, ...]:
-        """Return the services that any run has called lately."""
-        called = (self.list_called(now, route) for route in self._called)
-        return tuple(set(chain.from_iterable(called)))
-
     def _record_service(
         self, now: float, call: Call, attempt: AttemptRecord
     ) -> None:
--- a/hillfield/gate/reporting.py
+++ b/hillfield/gate/reporting.py
@@ -15,8 +15,6 @@
 # Decimal digits of reported seconds: a millisecond changes no decision.
 WAIT_DIGITS: Final = 3
 REPEATS_DIGITS: Final = 1
-# Parts of the slack that trials of a quarantined target leave to other repeats.
-TRIALS_RESERVED: Final = 0.75
 
 
 def build_report(
@@ -68,21 +66,9 @@
     )
 
 
-def _covers_trials(state: GateState, now: float) -> bool:
-    """Return whether the bounds on repeats cover trials: most of them fail."""
-    target = state.target
-    if target is None:
-        return False
-    services = (target.id.service, *state.call_parents.list_all_called(now))
-    shares = (state.find_share(now, service) for service in services)
-    return all(share is None or share >= TRIALS_RESERVED for share in shares)
-
-
 def _find_withheld(state: GateState, now: float) -> WithheldWork:
     if state.health.quarantined:
-        trial_due = state.health.is_trial_due(now) and _covers_trials(
-            state, now
-        )
+        trial_due = state.health.is_trial_due(now)
         return WithheldWork.USUAL if trial_due else WithheldWork.ALL
     suspected = score_running(state, now) > SUSPICION_SCORE
     return WithheldWork.ONCE if suspected else WithheldWork.NOTHING
