Take requests for calls only where callers have keys and these have none

Where no id has told a host yet which runs make calls, the share of repeated runs counted for all requests without an account: in a deployment without accounts that is every request, so that in trouble some in a hundred of the callers' own would have counted as repeats. Found by reading; a test holds it. Where callers have no keys, only ids tell.

--- a/hillfield/experiments/calling/hosts.py
+++ b/hillfield/experiments/calling/hosts.py
@@ -17,6 +17,7 @@
 from hillfield.experiments.calling.repeats import TargetArrival
 from hillfield.experiments.calling.targets import ModelTarget, Run
 from hillfield.gate import Gate, ServedIncarnation
+from hillfield.gate.calls import Call
 from hillfield.hostroutes.node_policy import make_policy
 from hillfield.loadreports import LoadReport, ReportPacer
 from hillfield.model import (
@@ -199,7 +200,8 @@
         self._calls += 1
         name = f'{run.name}.{self.name}.{self._calls}'
         kind = self._kinds[route]
-        if self.gate.record_call(self.clock.now, name, kind.service):
+        call = Call(name, kind.service)
+        if self.gate.record_call(self.clock.now, call):
             kind = replace(kind, repeat=RepeatKind.CALL)
         seconds = min(left, kind.deadline)
         Course(
--- a/hillfield/gate/attempts.py
+++ b/hillfield/gate/attempts.py
@@ -45,12 +45,10 @@
         """Set how many targets of the service share the bound on repeats."""
         self._state.repeats.adopt_targets(now, targets)
 
-    def record_call(self, now: float, request: str, service: str) -> bool:
+    def record_call(self, now: float, call: Call) -> bool:
         """Record a request of this host; return if a repeated run made it."""
         running = tuple(self._state.table.attempts.values())
-        return self._state.call_parents.record_call(
-            now, Call(request, service), running
-        )
+        return self._state.call_parents.record_call(now, call, running)
 
 
 class AttemptRecorder(RepeatRecorder):
--- a/hillfield/gate/calls.py
+++ b/hillfield/gate/calls.py
@@ -2,8 +2,8 @@
 
 A target makes its calls as any client of its host does. Where the id of a call
 extends that of the run that made it, as a trace's do, the run is known. Until a
-host has seen such an id, its calls are counted by the share of its runs that
-are repeats.
+host has seen such an id, requests without a key, where callers have keys, are
+taken for calls and counted by the share of its runs that are repeats.
 """
 
 from collections.abc import Sequence
@@ -52,10 +52,14 @@
 
 
 class Call(Struct, frozen=True):
-    """Hold the id of a request that began on this host, and its service."""
+    """Hold the id of a request that began on this host, and its service.
+
+    `keyless` says that callers have keys and this request came without.
+    """
 
     request: str
     service: str
+    keyless: bool = False
 
 
 class CallParents:
@@ -79,7 +83,7 @@
             self._ids_extend = True
             self._record_service(now, call, parent)
             return _is_repeat(parent)
-        if self._ids_extend or not running:
+        if self._ids_extend or not (call.keyless and running):
             return False
         for attempt in running:
             self._record_service(now, call, attempt)
--- a/hillfield/gate/tests/test_calls.py
+++ b/hillfield/gate/tests/test_calls.py
@@ -30,7 +30,7 @@
 
 
 def tell(parents, request, running):
-    return parents.record_call(0, Call(request, 'fees'), running)
+    return parents.record_call(0, Call(request, 'fees', keyless=True), running)
 
 
 FIRST = run('a1')
@@ -81,3 +81,11 @@
     assert parents.list_called(1, 'r') == ('fees',)
     assert not parents.list_called(1, 'other')
     assert not parents.list_called(CALLED_SECONDS, 'r')
+
+
+def test_where_callers_have_no_keys_only_ids_tell_calls():
+    parents = CallParents()
+    assert not any(
+        parents.record_call(0, Call(f'x{number}', 'fees'), (RETRIED,))
+        for number in range(CALLS)
+    )
--- a/hillfield/gate/tests/test_repeats.py
+++ b/hillfield/gate/tests/test_repeats.py
@@ -6,6 +6,7 @@
 
 from hillfield.events import ListJournal
 from hillfield.gate import Gate, ServedIncarnation
+from hillfield.gate.calls import Call
 from hillfield.gate.repeats import FEWER_TARGETS_SECONDS, RepeatPart
 from hillfield.model import (
     Address,
@@ -177,7 +178,7 @@
 def test_runs_that_call_are_not_repeated_when_the_called_bound_is_used(gate):
     first = ask(gate, 'a1')
     gate.record_written(NOW, first.attempt)
-    gate.record_call(NOW, 'a1.1', 'fees')
+    gate.record_call(NOW, Call('a1.1', 'fees'))
     left = {'fees': 0.1, 'claims': 2.0}
     gate.watch_shares(lambda now, service: left[service])
     assert isinstance(ask(gate, 'b1', RETRY), Refuse)
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -19,6 +19,7 @@
     refuse_route,
 )
 from hillfield.events import EventCode, Journal, Occurrence
+from hillfield.gate.calls import Call
 from hillfield.hostroutes.routes import HostRoute, RouteIndex, RouteTable
 from hillfield.model import (
     AnswerChecks,
@@ -77,14 +78,14 @@
 class HostRuns(Protocol):
     """Tell what the target of this host runs."""
 
-    def record_call(self, now: float, request: str, service: str) -> bool:
+    def record_call(self, now: float, call: Call) -> bool:
         """Record a request of this host; return if a repeated run made it."""
 
 
 class NoRuns:
     """Know of no runs."""
 
-    def record_call(self, now: float, request: str, service: str) -> bool:
+    def record_call(self, now: float, call: Call) -> bool:
         """Return False."""
         return False
 
@@ -191,7 +192,8 @@
         wait = self.quotas.ask(account)
         if wait:
             return Error(refuse_quota(account.name, wait))
-        return Ok(self._plan(route, account, head.request))
+        keyless = index.table.accounts is not None and not account.name
+        return Ok(self._plan(route, account, head.request, keyless=keyless))
 
     def policy(self, service: str) -> ServicePolicy | None:
         """Return the policy of a service, if a route leads there."""
@@ -217,16 +219,18 @@
         route: HostRoute,
         account: FleetAccount,
         request: str,
+        *,
+        keyless: bool,
     ) -> RequestPlan:
         settings = self._settings
         checks = settings.safe_checks if route.idempotent else settings.checks
         adoption = self._adoptions[route.name]
         service = route.draw_service(self._random)
         repeat = None
-        if not account.name and self.runs.record_call(
-            monotonic(), request, service
-        ):
-            repeat = RepeatKind.CALL
+        if not account.name:
+            call = Call(request, service, keyless)
+            if self.runs.record_call(monotonic(), call):
+                repeat = RepeatKind.CALL
         return RequestPlan(
             service,
             route.name,
--- a/hillfield/hostroutes/tests/test_planner.py
+++ b/hillfield/hostroutes/tests/test_planner.py
@@ -235,8 +235,8 @@
 
 
 class Runs:
-    def record_call(self, now, request, service):
-        return request.startswith('repeated')
+    def record_call(self, now, call):
+        return call.request.startswith('repeated')
 
 
 def test_a_call_of_a_repeated_run_is_planned_as_a_repeat(planner):
--- a/hillfield/routing/records.py
+++ b/hillfield/routing/records.py
@@ -33,8 +33,8 @@
     says whether any byte of it was written; after that it can be sent again
     only if its complete body is buffered. `unsent_attempts` counts attempts
     that ended before a byte was written, `declined_by` lists the targets whose
-    gates declined it, `declined_repeats` how often as a repeat, `started` is when it was admitted, `queue_order` its
-    position among waiting requests.
+    gates declined it, `declined_repeats` how often as a repeat, `started` is
+    when it was admitted, `queue_order` its position among waiting requests.
     """
 
     arrival: Arrival
