Forget expired arrivals where nobody counts them

Cause: expired slots were dropped only when the sum was asked for, and without a slack in the settings the gate never asks: four slots more a second, for good. The test kept 1,000 slots of 1,000 s before, and keeps those of the window now.

--- a/hillfield/gate/repeats.py
+++ b/hillfield/gate/repeats.py
@@ -48,6 +48,10 @@
         self._events: deque[list[int]] = deque()
         self._total = 0
 
+    def __len__(self) -> int:
+        """Return the number of slots kept."""
+        return len(self._events)
+
     def add(self, now: float) -> None:
         """Count an event."""
         number = int(now // self._slot)
@@ -55,14 +59,18 @@
             self._events[-1][1] += 1
         else:
             self._events.append([number, 1])
+            self._drop_expired(now)
         self._total += 1
 
     def count(self, now: float) -> int:
         """Return how many events there were."""
+        self._drop_expired(now)
+        return self._total
+
+    def _drop_expired(self, now: float) -> None:
         oldest = (now - self._seconds) // self._slot
         while self._events and self._events[0][0] <= oldest:
             self._total -= self._events.popleft()[1]
-        return self._total
 
 
 class RepeatPart:
--- a/hillfield/gate/tests/test_repeats.py
+++ b/hillfield/gate/tests/test_repeats.py
@@ -7,7 +7,11 @@
 from hillfield.events import ListJournal
 from hillfield.gate import Gate, ServedIncarnation
 from hillfield.gate.calls import Call
-from hillfield.gate.repeats import FEWER_TARGETS_SECONDS, RepeatPart
+from hillfield.gate.repeats import (
+    FEWER_TARGETS_SECONDS,
+    RepeatPart,
+    SlidingCount,
+)
 from hillfield.model import (
     Address,
     Locality,
@@ -131,6 +135,13 @@
     assert hedges + retries == PART
 
 
+def test_events_that_nobody_counts_are_not_kept_for_good():
+    arrivals = SlidingCount(seconds=WINDOW, slot=1)
+    for second in range(1000):
+        arrivals.add(second)
+    assert len(arrivals) <= WINDOW + 1
+
+
 def test_without_a_slack_nothing_is_bounded():
     part = RepeatPart(RepeatBound())
     assert part.admits(0, RETRY)
