Say once what a gate tells of its repeats, and drop twins that the fix brought

Behaviour stays. How many parts count as enough stood in three modules under three names (gate, pacing, capacity); the pause after a decline asked anew what the classification says; admission asked twice whether a request is a repeat; the figures of a missing bound stood in boot and in the model; in the calling experiment a call repeated the start of a request, the arrivals were gathered and sorted twice, and the retry ratio stood beside the deployment's bound.

--- a/hillfield/experiments/calling/courses.py
+++ b/hillfield/experiments/calling/courses.py
@@ -48,7 +48,7 @@
         self.closed = False
         self.hops: dict[int, Hop] = {}
         self.host = host
-        self.expires = host.clock.now + deadline
+        self.expires = host.clock.now + min(deadline, kind.deadline)
         self._end = end
         self._dispatcher = host.find_dispatcher(kind.service)
         self._launched = 0
--- a/hillfield/experiments/calling/hosts.py
+++ b/hillfield/experiments/calling/hosts.py
@@ -29,7 +29,6 @@
 )
 from hillfield.routing import Dispatcher, DispatcherTable
 
-REPEAT_RATIO: Final = 0.2
 FLOOR: Final = 0.7
 TICK: Final = 0.2
 # Seconds before the first request at which nodes have started.
@@ -111,6 +110,7 @@
         self.hops: dict[str, Hop] = {}
         self.arrivals: list[TargetArrival] = []
         self.gate = Gate(ListJournal(), deployment.bound)
+        self._retry_ratio = deployment.bound.ratio
         self.gate.serve(ServedIncarnation(target, self.name))
         self.target = ModelTarget(
             self.clock,
@@ -130,7 +130,7 @@
     def join(self, targets: tuple[Target, ...]) -> None:
         """Learn of all targets, and begin to tick."""
         self._table.adopt_nodes(0, len(targets))
-        policy = make_policy(REPEAT_RATIO, FLOOR)
+        policy = make_policy(self._retry_ratio, FLOOR)
         services = sorted({target.id.service for target in targets})
         for service in services:
             own = tuple(one for one in targets if one.id.service == service)
@@ -154,9 +154,7 @@
         end: Callable[[str], None],
     ) -> None:
         """Begin a request of a caller of this host."""
-        kind = self._kinds[route]
-        seconds = min(deadline, kind.deadline)
-        Course(self, kind, name, seconds, end).start()
+        Course(self, self._kinds[route], name, deadline, end).start()
 
     def poll(self, dispatcher: Dispatcher) -> None:
         """Move on what waits at this node."""
@@ -203,12 +201,11 @@
         call = Call(name, kind.service)
         if self.gate.record_call(self.clock.now, call):
             kind = replace(kind, repeat=RepeatKind.CALL)
-        seconds = min(left, kind.deadline)
         Course(
             self,
             kind,
             name,
-            seconds,
+            left,
             lambda how: run.end_call(how == 'ok'),
             run.is_repeat,
         ).start()
--- a/hillfield/experiments/calling/play.py
+++ b/hillfield/experiments/calling/play.py
@@ -11,7 +11,11 @@
 from hillfield.experiments.calling.clock import Clock
 from hillfield.experiments.calling.deployment import Deployment, Kind
 from hillfield.experiments.calling.hosts import Host, Network, make_target
-from hillfield.experiments.calling.repeats import RepeatWindow, find_fullest
+from hillfield.experiments.calling.repeats import (
+    RepeatWindow,
+    TargetArrival,
+    find_fullest,
+)
 
 DOMAINS: Final = 'abc'
 # Seconds in which targets' repeats are counted.
@@ -31,9 +35,8 @@
     `crossing` is bytes between failure domains, `repeats` the most that a
     service got within 10 s, `declined` how often a gate did not take one,
     `windows` the one in which each service came nearest to the fleet's bound on
-    repeats, `waits` the seconds until each good answer, `needing` the moments at which
-    each target got its requests that names a limit,
-    `earned` and `owed` the worth of all.
+    repeats, `waits` the seconds until each good answer, `needing` the moments at
+    which each target got its requests that names a limit, `earned` and `owed` the worth of all.
     """
 
     counts: dict[str, Counter[str]] = field(default_factory=dict)
@@ -79,16 +82,15 @@
                     partial(self._await_next, kind, seconds - CLOSING),
                 )
         self._clock.run(seconds)
-        self._count_repeats()
+        arrivals = sorted(
+            arrival
+            for host in self._network.hosts.values()
+            for arrival in host.arrivals
+        )
+        self._count_repeats(arrivals)
         self._outcome.declined = self._network.declined
         self._outcome.windows = find_fullest(
-            self._network.asked,
-            [
-                arrival
-                for host in self._network.hosts.values()
-                for arrival in host.arrivals
-            ],
-            self._deployment.bound,
+            self._network.asked, arrivals, self._deployment.bound
         )
         self._outcome.needing.extend(
             tuple(arrival.moment for arrival in host.arrivals)
@@ -170,12 +172,7 @@
         outcome.owed += kind.worth
         outcome.earned += kind.worth * EARNED[how]
 
-    def _count_repeats(self) -> None:
-        arrivals = sorted(
-            arrival
-            for host in self._network.hosts.values()
-            for arrival in host.arrivals
-        )
+    def _count_repeats(self, arrivals: list[TargetArrival]) -> None:
         seen: set[str] = set()
         windows: Counter[tuple[str, int]] = Counter()
         for arrival in arrivals:
--- a/hillfield/experiments/calling/repeats.py
+++ b/hillfield/experiments/calling/repeats.py
@@ -43,16 +43,17 @@
 ) -> dict[str, RepeatWindow]:
     """Return for each service the window with the largest excess.
 
-    `asked` holds, by service and in order, when requests for it began.
+    `asked` holds, by service, when requests for it began; it and `arrivals` are
+    in order.
     """
     return {
         service: _find_fullest(
             moments,
-            sorted(
+            [
                 arrival.moment
                 for arrival in arrivals
                 if arrival.is_repeat and arrival.service == service
-            ),
+            ],
             bound,
         )
         for service, moments in asked.items()
--- a/hillfield/gate/admission.py
+++ b/hillfield/gate/admission.py
@@ -133,7 +133,7 @@
 ) -> Cause | None:
     """Return why the request should not be sent to the target, or None."""
     plan = record.arrival.plan
-    if plan.repeat is not None and not _covers_repeat(state, now, plan):
+    if not _covers_repeat(state, now, plan):
         return REPEATS_USED
     if not state.health.admits(now, plan):
         return QUARANTINED
--- a/hillfield/gate/repeats.py
+++ b/hillfield/gate/repeats.py
@@ -12,6 +12,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from hillfield.loadreports.reports import ENOUGH_REPEATS
 from hillfield.model import RepeatBound, RepeatKind
 
 # Parts of a window in which arrivals are counted together.
@@ -25,9 +26,6 @@
     {RepeatKind.RETRY: 0, RepeatKind.HEDGE: 0.25},
 )
 ONE_REPEAT: Final[float] = 1
-# Most that a gate reports to have left, in parts of the slack: what its requests
-# have earned on top is left to its own retries.
-LARGEST_SHARE: Final[float] = 2
 
 
 class SlidingCount:
@@ -135,10 +133,10 @@
         """Return what is left in parts of the slack, bounded."""
         slack = self._compute_slack()
         if slack == inf:
-            return LARGEST_SHARE
+            return ENOUGH_REPEATS
         if not slack:
             return 0
-        return min(LARGEST_SHARE, self.compute_left(now) / slack)
+        return min(ENOUGH_REPEATS, self.compute_left(now) / slack)
 
     def _compute_slack(self) -> float:
         if self._bound.slack == inf:
--- a/hillfield/gate/reporting.py
+++ b/hillfield/gate/reporting.py
@@ -7,10 +7,13 @@
     count_usable_slots,
     estimate_wait,
 )
-from hillfield.gate.repeats import LARGEST_SHARE
 from hillfield.gate.state import GateState
 from hillfield.gate.suspicion import SUSPICION_SCORE, score_running
-from hillfield.loadreports.reports import LoadReport, WithheldWork
+from hillfield.loadreports.reports import (
+    ENOUGH_REPEATS,
+    LoadReport,
+    WithheldWork,
+)
 
 # Decimal digits of reported seconds: a millisecond changes no decision.
 WAIT_DIGITS: Final = 3
@@ -46,7 +49,7 @@
 
 def _find_repeats(state: GateState, now: float) -> float | None:
     share = state.repeats.compute_share(now)
-    return None if share >= LARGEST_SHARE else round(share, REPEATS_DIGITS)
+    return None if share >= ENOUGH_REPEATS else round(share, REPEATS_DIGITS)
 
 
 def _report_leaving(state: GateState, number: int) -> LoadReport | None:
--- a/hillfield/hostroutes/planner.py
+++ b/hillfield/hostroutes/planner.py
@@ -192,7 +192,7 @@
         wait = self.quotas.ask(account)
         if wait:
             return Error(refuse_quota(account.name, wait))
-        keyless = index.table.accounts is not None and not account.name
+        keyless = index.table.accounts is not None
         return Ok(self._plan(route, account, head.request, keyless=keyless))
 
     def policy(self, service: str) -> ServicePolicy | None:
--- a/hillfield/loadreports/pacing.py
+++ b/hillfield/loadreports/pacing.py
@@ -13,7 +13,11 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from hillfield.loadreports.reports import LoadReport, WithheldWork
+from hillfield.loadreports.reports import (
+    ENOUGH_REPEATS,
+    LoadReport,
+    WithheldWork,
+)
 from hillfield.routing.budgets import Bucket
 
 # Seconds between two reports to the own failure domain: a request takes ten
@@ -45,8 +49,6 @@
 RESERVED_REPORTS: Final = 1
 # Queue lengths in rounds of the slots that are distinguished.
 MAXIMUM_ROUNDS: Final = 3
-# Whole parts left of the bound on repeats that are distinguished.
-MAXIMUM_PARTS: Final = 2
 
 
 class _Importance(Enum):
@@ -73,7 +75,7 @@
     rounds: int
     held: WithheldWork
     sent_at: float
-    repeats: int = MAXIMUM_PARTS
+    repeats: int = ENOUGH_REPEATS
     times: int = 1
     outdated: bool = False
 
@@ -169,8 +171,8 @@
 
 def _count_parts(repeats: float | None) -> int:
     if repeats is None:
-        return MAXIMUM_PARTS
-    return min(MAXIMUM_PARTS, max(0, int(repeats)))
+        return ENOUGH_REPEATS
+    return min(ENOUGH_REPEATS, max(0, int(repeats)))
 
 
 def _rank_change(sent: _SentState | None, state: _SentState) -> _Importance:
--- a/hillfield/loadreports/reports.py
+++ b/hillfield/loadreports/reports.py
@@ -1,6 +1,7 @@
 """Reports of the free capacity of a target, and their encoding."""
 
 from enum import IntEnum
+from typing import Final
 
 from msgspec import Struct
 
@@ -8,6 +9,11 @@
 from hillfield.model import Address, IncarnationNotice, TargetId
 
 
+# Parts of the slack above which a gate reports nothing of what it has left for
+# repeats: what its requests have earned on top is left to its own retries.
+ENOUGH_REPEATS: Final[int] = 2
+
+
 class WithheldWork(IntEnum):
     """Name the work that a gate withholds from its target.
 
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -1,6 +1,5 @@
 """Read the settings file that the platform writes."""
 
-from math import inf
 from pathlib import Path
 from typing import Final
 
@@ -8,7 +7,13 @@
 from msgspec import DecodeError, Struct, ValidationError, field
 from msgspec.json import decode
 
-from hillfield.model import Address, Locality, RepeatBound, parse_address
+from hillfield.model import (
+    UNBOUNDED,
+    Address,
+    Locality,
+    RepeatBound,
+    parse_address,
+)
 from hillfield.settings import (
     AnnouncementSettings,
     LimitSettings,
@@ -36,8 +41,6 @@
 HEARTBEAT: Final = 1.5
 GRACE: Final = 6.0
 BYTES_OF_A_MEGABYTE: Final = 1_000_000
-RETRY_RATIO: Final = 0.2
-RETRY_WINDOW: Final = 10.0
 FLOOR: Final = 0.7
 
 
@@ -140,9 +143,9 @@
         crashes=Address(wire.ip, wire.internal_ports[0] + CRASHES),
         grace=wire.bound('graceS', GRACE),
         repeats=RepeatBound(
-            wire.bound('retryBudgetRatio', RETRY_RATIO),
-            wire.bound('retryBudgetSlack', inf),
-            wire.bound('retryWindowS', RETRY_WINDOW),
+            wire.bound('retryBudgetRatio', UNBOUNDED.ratio),
+            wire.bound('retryBudgetSlack', UNBOUNDED.slack),
+            wire.bound('retryWindowS', UNBOUNDED.window),
         ),
         floor=wire.bound('floorShare', FLOOR),
         memory=_read_memory(wire.limits),
--- a/hillfield/routing/capacity.py
+++ b/hillfield/routing/capacity.py
@@ -4,13 +4,15 @@
 from statistics import fmean
 from typing import Final
 
-from hillfield.loadreports.reports import LoadReport, WithheldWork
+from hillfield.loadreports.reports import (
+    ENOUGH_REPEATS,
+    LoadReport,
+    WithheldWork,
+)
 from hillfield.model import RequestPlan, TargetId
 
 # Seconds for which a report counts; gates repeat it after 10 s at the latest.
 REPORT_LIFETIME: Final = 12.0
-# What a gate has left that names nothing, in parts of the slack.
-ENOUGH: Final[float] = 2
 # Seconds between two searches for reports that have expired.
 SEARCH_INTERVAL: Final = 1.0
 
@@ -191,7 +193,7 @@
         if not self._reports:
             return None
         return fmean(
-            ENOUGH if report.repeats is None else report.repeats
+            ENOUGH_REPEATS if report.repeats is None else report.repeats
             for _, report in self._reports.values()
         )
 
--- a/hillfield/routing/feedback.py
+++ b/hillfield/routing/feedback.py
@@ -47,10 +47,7 @@
         service.capacities.count_ended(identity)
     _record_duration(service, now, attempt, classification)
     service.selector.record_ended(now, identity, seconds, classification.failed)
-    only_repeats = (
-        isinstance(observation, Declined) and observation.only_repeats
-    )
-    if not only_repeats and _should_pause(service, attempt, classification):
+    if _should_pause(service, attempt, classification):
         service.selector.pause(now, identity)
     if isinstance(observation, Declined) and observation.lasting:
         service.recent_declines.record(now, identity)
@@ -98,4 +95,6 @@
     """
     if classification.trigger is AttemptTrigger.TIMED_OUT:
         return service.capacities.find(attempt.target.id) is None
+    if classification.only_repeats:
+        return False
     return classification.trigger in OVERLOAD_TRIGGERS
