--- a/review/2/case.py
+++ b/review/2/case.py
@@ -74,4 +74,5 @@
     return breaches
 
 
-play(HERE, SERVICES, script)
+if __name__ == '__main__':
+    play(HERE, SERVICES, script)
