Log the drain of each server, and what still ran at its end

Callers of a stopping node got 504 for requests whose own deadline was seconds away, and the log said "no complete answer arrived in time" for these as for requests whose deadline had passed: nothing told the two causes apart, nor when a server had stopped listening.

SERVER_DRAINING says when, with the connections and requests left, and DRAIN_OVERRUN says that requests were ended because the time to stop was over.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -13,6 +13,8 @@
     NODE_DRAINING = 1002
     NODE_STOPPED = 1003
     LOOP_LATE = 1004
+    SERVER_DRAINING = 1005
+    DRAIN_OVERRUN = 1006
     REQUEST_MALFORMED = 2001
     REQUEST_TOO_LARGE = 2002
     REQUEST_TOO_SLOW = 2003
@@ -119,6 +121,8 @@
         EventCode.NODE_DRAINING: 'info',
         EventCode.NODE_STOPPED: 'info',
         EventCode.LOOP_LATE: 'warning',
+        EventCode.SERVER_DRAINING: 'info',
+        EventCode.DRAIN_OVERRUN: 'warning',
         EventCode.REQUEST_MALFORMED: 'info',
         EventCode.REQUEST_TOO_LARGE: 'info',
         EventCode.REQUEST_TOO_SLOW: 'info',
--- a/hillfield/proxy/connections.py
+++ b/hillfield/proxy/connections.py
@@ -13,6 +13,7 @@
 
 from hillfield.proxy.callers import CallerConnection
 from hillfield.proxy.context import ProxyContext
+from hillfield.proxy.draining import record_overrun
 
 _MAX_REFUSALS: Final = 64
 # Seconds to send the answers to requests that could not be finished: after an
@@ -66,6 +67,7 @@
             async with timeout(settings.drain_timeout):
                 await self._wait_until_empty()
         except TimeoutError:
+            record_overrun(self._context, settings.drain_timeout)
             self._context.expire_all()
             await sleep(_FINAL_ANSWER_SECONDS)
             self.abandon()
--- a/hillfield/proxy/server.py
+++ b/hillfield/proxy/server.py
@@ -9,6 +9,7 @@
 from hillfield.model import TargetId
 from hillfield.proxy.connections import CallerConnections
 from hillfield.proxy.context import ProxyContext
+from hillfield.proxy.draining import record_drain
 from hillfield.proxy.intake import Acceptor
 from hillfield.proxy.meters import NoMeter, RequestMeter
 from hillfield.proxy.ports import CrashGuard, NoCrashGuard, PlanSource
@@ -102,6 +103,7 @@
         """
         self._stop_listening()
         self._context.draining = True
+        record_drain(self._context, self.address, self.count_connections())
         await self._connections.drain()
         self._stop_sweeping()
         self._context.pool.close()
