Keep the check for half-closed callers and request ids with their users

A start imports a bounded number of modules, each about 1 ms on a small host, and has reached the bound: two modules of one function each go into the module that their readers open anyway. No behaviour changes.

--- a/hillfield/proxy/planning.py
+++ b/hillfield/proxy/planning.py
@@ -1,5 +1,10 @@
 """Planning of a request once its head has arrived."""
 
+from collections.abc import Container
+from itertools import count
+from secrets import token_hex
+from typing import Final
+
 from expression import Error, Ok, Result
 from msgspec import Struct
 from msgspec.structs import replace
@@ -17,13 +22,16 @@
     read_request_head,
     read_request_id,
 )
-from hillfield.proxy.identifiers import assign_request_id
 from hillfield.proxy.plannedrequests import (
     PlannedRequest,
     compute_reserve,
     has_body,
 )
 
+# One prefix per process and one number per request: unique in the fleet.
+_PREFIX: Final = token_hex(6)
+_NUMBERS: Final = count(1)
+
 
 class RequestIds(Struct, frozen=True):
     """Ids of a request: the one that others see, and this node's own key."""
@@ -122,3 +130,14 @@
     if planned is None:
         return True
     return planned.plan.idempotent and planned.plan.aim > 0
+
+
+def assign_request_id(headers: HTTPHeaders, in_use: Container[str]) -> str:
+    """Return the caller's request id, made unique among those in flight."""
+    given = read_request_id(headers)
+    if given and given not in in_use:
+        return given
+    number = next(_NUMBERS)
+    if given:
+        return f'{given}.{number:x}'
+    return f'{_PREFIX}-{number:x}'
--- a/hillfield/proxy/slots.py
+++ b/hillfield/proxy/slots.py
@@ -5,9 +5,8 @@
 
 from tornado.iostream import StreamClosedError
 
-from hillfield.proxy.halfclose import has_closed_writing
 from hillfield.proxy.ordering import AnswerOrder
-from hillfield.proxy.streams import CallerStream
+from hillfield.proxy.streams import CallerStream, has_closed_writing
 
 
 class ResponseSlot:
--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 from asyncio import Future, get_running_loop
+from select import POLLRDHUP, poll
 from typing import Any, Final, Protocol
 
 from tornado.iostream import (
@@ -215,3 +216,15 @@
             self.abandon()
             return
         get_running_loop().call_later(self.settings.linger, self.abandon)
+
+
+def has_closed_writing(stream: IOStream) -> bool:
+    """Return whether the caller has closed its side of the connection.
+
+    Tornado detects that only once it has read all bytes before it.
+    """
+    if stream.closed():
+        return True
+    watcher = poll()
+    watcher.register(stream.socket, POLLRDHUP)
+    return bool(watcher.poll(0))
--- a/hillfield/proxy/timeouts.py
+++ b/hillfield/proxy/timeouts.py
@@ -4,9 +4,8 @@
 
 from hillfield.proxy.context import ProxyContext
 from hillfield.proxy.failures import Fault
-from hillfield.proxy.halfclose import has_closed_writing
 from hillfield.proxy.ordering import AnswerOrder
-from hillfield.proxy.streams import CallerStream
+from hillfield.proxy.streams import CallerStream, has_closed_writing
 
 
 class CallerTimeouts:
