Take no request in a stop that the stop would have to end

What callers saw: a node that had got SIGTERM answered 504 to requests that their targets were running, non-idempotent ones among them, 1.7 to 3 s after it had taken them. They could not tell whether to send them again.

Cause: the steps of a stop were set in four places that didn't know of each other. Requests were read on idle kept connections until 3.4 s (2.4 s, plus the 1 s of the proxy's drain_grace), and everything was ended at 5.1 s (6 s less 0.9 s): whoever was taken last had 1.7 s, whatever its own deadline.

Ruled out: the requests' own deadlines, the gates' (other nodes ran on).

Fix: one schedule, made from the time that the platform gives. Idle connections end at 2.8 s; what comes later on others is sent only if its own deadline ends it in time; no attempt (first, from the queue, repeat or hedge) begins with less than the target latency of its route left, and one that waits for a slot is refused then, not run, with the time to come back. What runs has until 5.4 s instead of 5.1 s. The gate's server and a node without gates have the same limits.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -29,6 +29,7 @@
     CRASHING_REQUEST_REFUSED = 2012
     BYTES_EXHAUSTED = 2013
     REPEAT_SENT = 2014
+    REQUEST_TOO_LATE_IN_STOP = 2015
     TARGET_SUSPECTED = 3001
     TARGET_EJECTED = 3002
     TARGET_AVOIDED = 3003
@@ -137,6 +138,7 @@
         EventCode.CRASHING_REQUEST_REFUSED: 'info',
         EventCode.BYTES_EXHAUSTED: 'warning',
         EventCode.REPEAT_SENT: 'info',
+        EventCode.REQUEST_TOO_LATE_IN_STOP: 'info',
         EventCode.TARGET_SUSPECTED: 'info',
         EventCode.TARGET_EJECTED: 'warning',
         EventCode.TARGET_AVOIDED: 'warning',
--- a/hillfield/node/adapterparts.py
+++ b/hillfield/node/adapterparts.py
@@ -15,6 +15,7 @@
 from hillfield.node.dispatchers import DispatcherRegistry
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts, Recording
+from hillfield.node.stopping import StopSchedule
 from hillfield.proxy import ProxyServer, ProxySettings, RequestMeter
 from hillfield.proxy.ports import CrashGuard
 from hillfield.routing import DispatcherTable
@@ -39,7 +40,8 @@
     wrong answers of the target. `repeats` bounds the repeats of each service over
     all nodes. `reports`, `quotas` and `crashes` are the
     addresses for datagrams with load reports, usage of accounts and findings
-    on crashing requests (the same ports on all hosts). `relay` sets how the
+    on crashing requests (the same ports on all hosts). `stop` is the schedule
+    that the limits of the two servers follow. `relay` sets how the
     store is watched, `make_listeners` builds further listeners.
     """
 
@@ -52,6 +54,7 @@
     quotas: Address
     crashes: Address
     checks: AnswerChecks
+    stop: StopSchedule
     relay: FeedSettings
     make_listeners: Callable[
         [IncarnationTracker, NodePage], tuple[ExtraListener, ...]
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -39,15 +39,6 @@
 # Seconds between checks of timers of the fleet and of waiting requests; on a
 # small host each wake-up costs processor time that requests need.
 FLEET_TICK: Final = 0.2
-# Seconds for which a stopping gate still accepts work; most of it finishes
-# within the rest of the 6 s until the process is killed. When hosts restart at
-# one per second, this saves 1.4 of some 5 s without their target.
-SERVE_WHILE_STOPPING: Final = 1.4
-# Seconds for the fleet to receive the update that the target drains.
-DRAINING_ANNOUNCEMENT: Final = 0.5
-# Seconds after which callers send no more requests: readiness is probed once a
-# second, and two probes must fail.
-UNREADY_SECONDS: Final = 2.4
 # A node publishes its target at the first heartbeat: it has no other target to
 # wait for.
 SETTLE_SECONDS: Final[float] = 0
@@ -178,14 +169,14 @@
         # Other nodes watch the store from now on.
         for task in self._tasks:
             task.cancel()
-        await asyncio.sleep(SERVE_WHILE_STOPPING)
+        began = monotonic()
+        schedule = self._fittings.stop
+        await _sleep_until(began + schedule.withdraw_target)
         if self.ticker is not None:
             self.ticker.withdraw_targets()
-        await asyncio.sleep(DRAINING_ANNOUNCEMENT)
+        await _sleep_until(began + schedule.close_gate)
         self.gate.closing = True
-        await asyncio.sleep(
-            UNREADY_SECONDS - SERVE_WHILE_STOPPING - DRAINING_ANNOUNCEMENT
-        )
+        await _sleep_until(began + schedule.stop_listening)
         await asyncio.gather(self.parts.proxy.drain(), self._hops.drain())
         self._stop_ticking()
         await self._stop_listeners()
@@ -215,3 +206,7 @@
                 limits.head_seconds,
                 limits.idle_seconds,
             )
+
+
+async def _sleep_until(moment: float) -> None:
+    await asyncio.sleep(moment - monotonic())
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -9,9 +9,10 @@
 from hillfield.hostroutes import HostPlanner, PlannerSettings, make_policy
 from hillfield.model import Address
 from hillfield.node.adapterparts import AdapterParts, ExtraListener
-from hillfield.node.gated import UNREADY_SECONDS, GatedNode
+from hillfield.node.gated import GatedNode
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Recording, open_recording
+from hillfield.node.stopping import plan_stop
 from hillfield.platform.boot import Boot
 from hillfield.platform.headers import (
     CALLERS,
@@ -53,10 +54,6 @@
 HAND_OVER_AFTER: Final = 1.0
 # Seconds that a connection between nodes is kept while idle.
 HOP_IDLE_SECONDS: Final = 30.0
-# Seconds between the last answer and the end of the process: two of nine
-# processes that were stopped while busy were still there after 0.5 s.
-LAST_SECONDS: Final = 0.9
-LEAST_DRAIN: Final = 1.0
 
 
 class PlatformParts:
@@ -67,6 +64,7 @@
         self._boot = boot
         self._recording = recording
         self._node: GatedNode | None = None
+        self._stop = plan_stop(boot.grace)
         self._budget = build_budget(compute_limits(boot.memory))
 
     def join(self, node: GatedNode) -> None:
@@ -102,6 +100,7 @@
             quotas=self._boot.quotas,
             crashes=self._boot.crashes,
             checks=SIGNED,
+            stop=self._stop,
             relay=FeedSettings(
                 (KEY,),
                 FollowSettings(turn=TURN, retries=STORE_RETRIES),
@@ -158,13 +157,14 @@
         **more: object,
     ) -> ProxySettings:
         boot = self._boot
-        left = boot.grace - UNREADY_SECONDS - LAST_SECONDS
+        stop = self._stop
         return ProxySettings(
             address,
             node='',
             connection_limit=boot.settings.limits.connections,
             connect_timeout=CONNECT_SECONDS,
-            drain_timeout=max(LEAST_DRAIN, left),
+            drain_grace=stop.last_request - stop.stop_listening,
+            drain_timeout=stop.last_answers - stop.stop_listening,
             **more,  # type: ignore[arg-type]
         )
 
--- a/hillfield/proxy/context.py
+++ b/hillfield/proxy/context.py
@@ -6,6 +6,7 @@
 from hillfield.clocks import monotonic
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.model import RequestFailure
+from hillfield.proxy.deadlines import DrainLimits
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.intake import Intake
 from hillfield.proxy.meters import RequestMeter
@@ -26,6 +27,9 @@
     def expire(self) -> None:
         """End the request at its deadline and answer its caller."""
 
+    def refuse_late(self) -> None:
+        """Refuse the request if the drain leaves no time to send it."""
+
     def handle_error(self, error: Exception) -> None:
         """End the request after an unexpected error."""
 
@@ -51,10 +55,15 @@
         self.guard = guard
         self.pool = Pool(settings)
         self.intake = Intake()
-        self.draining = False
+        self.drain_limits: DrainLimits | None = None
         self.in_flight: dict[str, RequestOwner] = {}
         self.poll_timers = PollTimers(self.poll)
 
+    @property
+    def draining(self) -> bool:
+        """Return whether the server stops."""
+        return self.drain_limits is not None
+
     def poll(self, dispatching: Dispatching) -> None:
         """Carry out decisions on queued requests after an attempt has ended."""
         for decision in dispatching.poll(monotonic()):
@@ -75,6 +84,11 @@
         for owner in tuple(self.in_flight.values()):
             run_guarded(owner.expire, owner.handle_error)
 
+    def refuse_late(self) -> None:
+        """Refuse queued requests that the drain leaves no time to send."""
+        for owner in tuple(self.in_flight.values()):
+            run_guarded(owner.refuse_late, owner.handle_error)
+
     def record_failure(
         self,
         failure: RequestFailure,
--- a/hillfield/proxy/exchanges.py
+++ b/hillfield/proxy/exchanges.py
@@ -13,6 +13,7 @@
 from hillfield.proxy.forwarding import AnswerForwarder
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.plannedrequests import PlannedRequest
+from hillfield.proxy.planning import find_late_arrival
 from hillfield.proxy.replies import Reply
 from hillfield.proxy.running import RunningAttempts
 from hillfield.proxy.summaries import AttemptSummary
@@ -73,7 +74,10 @@
         self._started_at = monotonic()
         request = self._planned.forwarding.key
         fingerprint = self._running.compute_fingerprint()
-        refusal = self._running.find_refusal()
+        refusal = self._running.find_refusal() or find_late_arrival(
+            self._context,
+            self._planned,
+        )
         if refusal is not None:
             self.fail(refusal)
             return
@@ -133,15 +137,17 @@
     def handle_overflow(self, attempt: Attempt) -> Awaitable[None] | None:
         """Forward an answer that exceeds the buffer limit, or reject it."""
         observation = attempt.answer.observe_partial()
-        if observation is None:
-            return self._begin_forwarding(attempt)
-        attempt.reported = True
-        decision = self._running.finish(attempt, observation)
-        if isinstance(decision, Done) and isinstance(observation, Answered):
-            return self._begin_forwarding(attempt)
-        attempt.abort()
-        self.apply(decision)
-        return None
+        if observation is not None:
+            attempt.reported = True
+            decision = self._running.finish(attempt, observation)
+            answered = isinstance(observation, Answered)
+            if not (answered and isinstance(decision, Done)):
+                attempt.abort()
+                self.apply(decision)
+                return None
+        self._running.report_notice(attempt)
+        self._running.cancel_attempts(attempt)
+        return self._forwarder.begin(attempt)
 
     def handle_end(self, attempt: Attempt, observation: Observation) -> None:
         """Process the end of an attempt."""
@@ -175,6 +181,16 @@
             refusal = _find_deadline_failure(self._running.may_have_run)
         self.fail(refusal)
 
+    def refuse_late(self) -> None:
+        """Refuse the request if the drain leaves no time to send it."""
+        if self.closed or self._running.attempts:
+            return
+        refusal = self._running.find_refusal()
+        if refusal is not None:
+            key = self._planned.forwarding.key
+            self._dispatching.cancel(monotonic(), key)
+            self.fail(refusal)
+
     def handle_error(self, error: Exception) -> None:
         """End the request after an unexpected error."""
         failure = describe_unexpected(error)
@@ -183,11 +199,6 @@
         else:
             self.fail(failure)
 
-    def _begin_forwarding(self, attempt: Attempt) -> Awaitable[None]:
-        self._running.report_notice(attempt)
-        self._running.cancel_attempts(attempt)
-        return self._forwarder.begin(attempt)
-
     def _send_answer(self) -> None:
         if self.closed:
             return
--- a/hillfield/proxy/failures.py
+++ b/hillfield/proxy/failures.py
@@ -69,6 +69,18 @@
         Step.ADMIT,
         EventCode.CONNECTIONS_EXHAUSTED,
     )
+    STOPPING = (
+        503,
+        Outcome.NOT_RUN,
+        Step.ADMIT,
+        EventCode.REQUEST_TOO_LATE_IN_STOP,
+    )
+    STOPPING_UNKNOWN = (
+        504,
+        Outcome.UNKNOWN,
+        Step.AWAIT_ANSWER,
+        EventCode.REQUEST_TOO_LATE_IN_STOP,
+    )
     BYTES = (
         503,
         Outcome.NOT_RUN,
--- a/hillfield/proxy/planning.py
+++ b/hillfield/proxy/planning.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from hillfield.clocks import monotonic
 from hillfield.holding import RETRY_AFTER, ByteReservation
 from hillfield.model import RequestFailure, RequestPlan
 from hillfield.proxy.bodies import RequestBody
@@ -141,3 +142,39 @@
     if given:
         return f'{given}.{number:x}'
     return f'{_PREFIX}-{number:x}'
+
+
+def find_late_arrival(
+    context: ProxyContext,
+    planned: PlannedRequest,
+) -> RequestFailure | None:
+    """Return the refusal of a request that has come too late to be served."""
+    limits = context.drain_limits
+    now = monotonic()
+    if limits is None or limits.may_accept(now, planned.expires):
+        return None
+    return _refuse_late(limits.ends - now)
+
+
+def find_late_send(
+    context: ProxyContext,
+    planned: PlannedRequest,
+    *,
+    may_have_run: bool,
+) -> RequestFailure | None:
+    """Return the refusal of a request whose answer could not come in time."""
+    limits = context.drain_limits
+    now = monotonic()
+    if limits is None:
+        return None
+    if limits.may_send(now, planned.expires, planned.plan.aim):
+        return None
+    return _refuse_late(limits.ends - now, may_have_run=may_have_run)
+
+
+def _refuse_late(left: float, *, may_have_run: bool = False) -> RequestFailure:
+    """Return the failure; when the drain ends the host's next node starts."""
+    detail = f'the node stops in {left:.2f} s'
+    if may_have_run:
+        return Fault.STOPPING_UNKNOWN.failure(detail)
+    return Fault.STOPPING.failure(detail, retry_after=max(0, left))
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -12,6 +12,7 @@
 from hillfield.proxy.dialects import format_milliseconds
 from hillfield.proxy.guards import run_guarded
 from hillfield.proxy.plannedrequests import PlannedRequest, describe_identity
+from hillfield.proxy.planning import find_late_send
 from hillfield.proxy.resources import AttemptResources
 from hillfield.proxy.summaries import AttemptSummary
 from hillfield.routing.declining import Declined
@@ -78,9 +79,15 @@
 
     def find_refusal(self) -> RequestFailure | None:
         """Return why the request must not be sent to any target, if so."""
-        return self._context.guard.find_crash_refusal(
+        may_have_run = self.may_have_run or bool(self.attempts)
+        refusal = self._context.guard.find_crash_refusal(
             self._fingerprint,
-            may_have_run=self.may_have_run or bool(self.attempts),
+            may_have_run=may_have_run,
+        )
+        return refusal or find_late_send(
+            self._context,
+            self._planned,
+            may_have_run=may_have_run,
         )
 
     def launch(
--- a/hillfield/proxy/server.py
+++ b/hillfield/proxy/server.py
@@ -5,11 +5,12 @@
 
 from msgspec.structs import replace
 
+from hillfield.clocks import monotonic
 from hillfield.events import Journal
 from hillfield.model import TargetId
-from hillfield.proxy.connections import CallerConnections
+from hillfield.proxy.connections import CallerConnections, record_drain
 from hillfield.proxy.context import ProxyContext
-from hillfield.proxy.draining import record_drain
+from hillfield.proxy.deadlines import DrainLimits
 from hillfield.proxy.intake import Acceptor
 from hillfield.proxy.meters import NoMeter, RequestMeter
 from hillfield.proxy.ports import CrashGuard, NoCrashGuard, PlanSource
@@ -102,7 +103,11 @@
         sent is still served.
         """
         self._stop_listening()
-        self._context.draining = True
+        now = monotonic()
+        self._context.drain_limits = DrainLimits(
+            now + self._settings.drain_grace,
+            now + self._settings.drain_timeout,
+        )
         record_drain(self._context, self.address, self.count_connections())
         await self._connections.drain()
         self._stop_sweeping()
@@ -125,5 +130,7 @@
 
     def _sweep(self) -> None:
         now = get_running_loop().time()
+        if self._context.draining:
+            self._context.refuse_late()
         self._connections.sweep(now)
         self._context.pool.sweep(now)
