Store a target's departure before acknowledging it

What callers saw: 6 to 12 s after a target's farewell had been acknowledged it got requests again, until it exited; non-idempotent ones that it ran then were lost (502).

Cause: an acknowledged drain or farewell was held in memory alone, at the gate and in what other nodes were told. Where all nodes are killed right after it nothing is left, and a restarted gate took the first heartbeat of a target that it didn't know at its word, however old it was.

The log of the restarted node has GATE_SEATED for the late heartbeat. Ruled out: the node's own memory (its farewell held until the kill, and where only one node ends, another tells it); order (the heartbeat is the first that the new process sees, and two late ones come in order, so waiting for a second, later one is no way); asking the target (its health may say 200).

Fix: the departure is written under the host's key, with a lease of ten minutes, before the answer; a started node reads it before it believes a heartbeat of a target that it doesn't know, for 2 s at most while the store doesn't answer. What is read later still binds. A target that started after the departure is served. Where the store can't be written within 0.8 s the gate stops all the same, and the target gets 503: no promise that memory alone would keep. Names that left most lately are remembered longest. Single readings of the store are asked for once more after 0.5 s, as ranges.

The cases of test_incarnations.py are without a network.

--- a/hillfield/announcements/messages.py
+++ b/hillfield/announcements/messages.py
@@ -62,6 +62,7 @@
     UNKNOWN = 'unknown'
     STALE = 'stale'
     FULL = 'full'
+    HELD = 'held'
 
 
 class AnnouncementProblem(Struct, frozen=True):
--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -114,6 +114,8 @@
     TARGET_EXPIRED = 7004
     ANNOUNCEMENT_REFUSED = 7005
     CONTROL_REQUEST_FAILED = 7006
+    DEPARTURES_RESTORED = 7007
+    DEPARTURES_NOT_STORED = 7008
 
 
 SEVERITIES: Final[Mapping[EventCode, str]] = MappingProxyType(
@@ -223,5 +225,7 @@
         EventCode.TARGET_EXPIRED: 'warning',
         EventCode.ANNOUNCEMENT_REFUSED: 'warning',
         EventCode.CONTROL_REQUEST_FAILED: 'error',
+        EventCode.DEPARTURES_RESTORED: 'info',
+        EventCode.DEPARTURES_NOT_STORED: 'warning',
     }
 )
--- a/hillfield/gate/tests/test_incarnations.py
+++ b/hillfield/gate/tests/test_incarnations.py
@@ -7,7 +7,11 @@
 from hillfield.events import ListJournal
 from hillfield.gate import Gate
 from hillfield.gate.health import AttemptResult
-from hillfield.gate.incarnations import IncarnationTracker
+from hillfield.gate.incarnations import (
+    HOLD_SECONDS,
+    NAMES_KEPT,
+    IncarnationTracker,
+)
 from hillfield.model import Address, RequestPlan, TargetState
 from hillfield.routing.requests import Arrival
 from hillfield.settings.examples import make_example
@@ -140,3 +144,97 @@
     assert state.in_flight == 1
     seating.announce(1, WALL, 'i-1', 1, started_at(60))
     assert not state.in_flight
+
+
+BORN = 500
+LIVING = replace(READY, incarnation=BORN)
+LATER = replace(READY, incarnation=BORN + 1)
+
+
+def is_served(seating, name):
+    serving = seating.gate.serving
+    return serving is not None and serving.name == name
+
+
+def test_a_first_heartbeat_waits_for_the_stored_departures(seating):
+    # Guards against a late heartbeat that revives a target which has left.
+    seating.held.start(0)
+    assert seating.announce(0.1, WALL, 'i-1', 1, LIVING).is_error()
+    assert seating.gate.serving is None
+    seating.restore(0.2, {'i-1': BORN})
+    assert seating.gate.serving is None
+    assert seating.announce(0.3, WALL, 'i-1', 2, LIVING).is_error()
+
+
+def test_a_heartbeat_that_waited_counts_once_the_departures_are_read(seating):
+    # Guards against living targets that a restarted node doesn't serve.
+    seating.held.start(0)
+    seating.announce(0.1, WALL, 'i-1', 1, LIVING)
+    seating.restore(0.2, {'i-0': BORN})
+    assert seating.gate.serving.name == 'i-1'
+
+
+def test_a_heartbeat_waits_no_longer_than_a_call_to_the_store(seating):
+    # Guards against targets without requests while the store is away.
+    seating.held.start(0)
+    seating.announce(0.1, WALL, 'i-1', 1, LIVING)
+    seating.release_held(HOLD_SECONDS - 0.1)
+    assert not is_served(seating, 'i-1')
+    seating.release_held(HOLD_SECONDS)
+    assert is_served(seating, 'i-1')
+
+
+def test_a_departure_that_is_read_late_still_binds(seating):
+    # Guards against farewells forgotten because the store answered late.
+    seating.announce(0, WALL, 'i-1', 1, LIVING)
+    seating.restore(5, {'i-1': BORN})
+    assert seating.gate.serving is None
+    assert seating.announce(5.1, WALL, 'i-1', 2, LIVING).is_error()
+
+
+def test_a_later_incarnation_of_a_name_that_left_is_served(seating):
+    # Guards against a name that is never served again after its farewell.
+    seating.held.start(0)
+    seating.announce(0.1, WALL, 'i-1', 1, LATER)
+    seating.restore(0.2, {'i-1': BORN})
+    assert seating.gate.serving.name == 'i-1'
+    assert not seating.departures.starts
+
+
+def test_a_departure_does_not_end_an_incarnation_that_began_after_it(seating):
+    # Guards against a late reading that takes out the next incarnation.
+    seating.announce(0, WALL, 'i-1', 1, LATER)
+    seating.restore(5, {'i-1': BORN})
+    assert seating.gate.serving.name == 'i-1'
+
+
+def test_a_drain_is_a_departure_that_later_heartbeats_do_not_change(seating):
+    # Guards against a write to the store at each heartbeat of a drain.
+    seating.announce(0, WALL, 'i-1', 1, DRAINING)
+    seating.announce(1, WALL + 1, 'i-1', 2, DRAINING)
+    assert dict(seating.departures.starts) == {'i-1': WALL}
+
+
+def test_a_drain_is_not_held(seating):
+    # Guards against drains that wait for the store.
+    seating.held.start(0)
+    assert seating.announce(0.1, WALL, 'i-1', 1, DRAINING).is_ok()
+
+
+def test_the_latest_departures_are_remembered(seating):
+    # Guards against farewells that make room for older ones.
+    others = map(str, range(NAMES_KEPT - 1))
+    for name in ('i-1', *others, 'i-1', 'last'):
+        seating.withdraw(0, name, BORN)
+    starts = seating.departures.starts
+    assert 'i-1' in starts
+    assert len(starts) == NAMES_KEPT
+
+
+def test_what_answers_say_of_leaving_is_no_departure_to_store(seating):
+    # Guards against heartbeats whose acknowledgement waits for the store
+    # though they promise nothing.
+    served = seating.announce(0, WALL, 'i-1', 1, LIVING)
+    seating.record_leaving(1, served.ok.id)
+    seating.announce(2, WALL, 'i-1', 2, LIVING)
+    assert not seating.departures.starts
--- a/hillfield/node/adapterparts.py
+++ b/hillfield/node/adapterparts.py
@@ -9,9 +9,9 @@
 from hillfield.announcements import TargetRegistry
 from hillfield.detection.pathdetector import PathDetector
 from hillfield.fleet.store_feed import FeedSettings
-from hillfield.gate.incarnations import IncarnationTracker
 from hillfield.hostroutes import HostPlanner
 from hillfield.model import Address, AnswerChecks, RepeatBound
+from hillfield.node.departures import DepartureStorage
 from hillfield.node.dispatchers import DispatcherRegistry
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Parts, Recording
@@ -57,7 +57,8 @@
     stop: StopSchedule
     relay: FeedSettings
     make_listeners: Callable[
-        [IncarnationTracker, NodePage], tuple[ExtraListener, ...]
+        [DepartureStorage, NodePage],
+        tuple[ExtraListener, ...],
     ]
 
 
--- a/hillfield/node/exchanges.py
+++ b/hillfield/node/exchanges.py
@@ -3,11 +3,12 @@
 from random import Random
 
 from hillfield.events import Journal
-from hillfield.gate import Gate
+from hillfield.gate import Gate, IncarnationTracker
 from hillfield.node.adapterparts import AdapterParts
 from hillfield.node.crashes import CrashTracker
 from hillfield.node.crashexchange import CrashExchange
 from hillfield.node.crashstore import CrashStorage
+from hillfield.node.departures import DepartureStorage
 from hillfield.node.exits import ExitWatch
 from hillfield.node.parts import Parts
 from hillfield.node.quotas import QuotaExchange
@@ -66,6 +67,16 @@
     )
 
 
+def build_departure_storage(
+    parts: Parts,
+    tracker: IncarnationTracker,
+) -> DepartureStorage:
+    """Return the persistence of the departures of this host's targets."""
+    settings = parts.settings
+    key = f'/hillfield/{settings.cluster}/departures/{settings.name}'
+    return DepartureStorage(key, parts.store, tracker, parts.journal)
+
+
 def build_exit_watch(
     gate: Gate,
     hops: ProxyServer,
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -24,6 +24,7 @@
 from hillfield.node.exchanges import (
     build_crash_exchange,
     build_crash_storage,
+    build_departure_storage,
     build_exit_watch,
     build_load_reporting,
     build_quota_exchange,
@@ -100,8 +101,9 @@
         self._exit_watch = build_exit_watch(self.gate, self._hops, self.crashes)
         self._reporting = build_load_reporting(parts, fittings, self.gate)
         self._quotas = build_quota_exchange(parts, fittings)
+        self._departures = build_departure_storage(parts, self.seating)
         self._listeners = (
-            *fittings.make_listeners(self.seating, self.page),
+            *fittings.make_listeners(self._departures, self.page),
             self._reporting,
             self._quotas,
             self.crashes,
@@ -127,6 +129,7 @@
         except OSError as failed:
             peer = str(self._fittings.hops.address)
             return Error(NodeError('listen', peer, str(failed)))
+        self.seating.held.start(monotonic())
         for listener in self._listeners:
             listener.start()
         self._gate_ticking = get_shared_timer().every(
@@ -163,7 +166,7 @@
             self.parts.journal,
         )
         memory = build_crash_storage(self.parts, self.crashes)
-        return relay.run(), memory.run()
+        return relay.run(), memory.run(), self._departures.run()
 
     async def _drain(self) -> None:
         # Other nodes watch the store from now on.
@@ -194,6 +197,7 @@
     def _tick_gate(self) -> None:
         now = monotonic()
         self.watch.check(now)
+        self.seating.release_held(now)
         self.seating.drop_expired(now)
         self._hops.deliver(self.gate.poll(now))
 
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -4,11 +4,12 @@
 from typing import Final
 
 from hillfield.fleet.store_feed import FeedSettings
-from hillfield.gate import HopDialect, IncarnationTracker, ServedIncarnation
+from hillfield.gate import HopDialect, ServedIncarnation
 from hillfield.holding import build_budget, compute_limits, lift_target_limit
 from hillfield.hostroutes import HostPlanner, PlannerSettings, make_policy
 from hillfield.model import Address
 from hillfield.node.adapterparts import AdapterParts, ExtraListener
+from hillfield.node.departures import DepartureStorage
 from hillfield.node.gated import GatedNode
 from hillfield.node.page import NodePage
 from hillfield.node.parts import Recording, open_recording
@@ -77,14 +78,14 @@
 
     def make_listeners(
         self,
-        seating: IncarnationTracker,
+        departures: DepartureStorage,
         page: NodePage,
     ) -> tuple[ExtraListener, ...]:
         """Return the servers for heartbeats and for the platform."""
         boot = self._boot
         journal = self._recording.journal
         return (
-            make_heartbeat_server(boot.heartbeats, seating, journal),
+            make_heartbeat_server(boot.heartbeats, departures, journal),
             make_ready_server(boot.ready, page),
         )
 
--- a/hillfield/platform/heartbeats.py
+++ b/hillfield/platform/heartbeats.py
@@ -20,8 +20,8 @@
 from hillfield.clocks import monotonic, read_wall
 from hillfield.control.plainserver import PlainServer
 from hillfield.events import EventCode, Journal, Occurrence
-from hillfield.gate.incarnations import IncarnationTracker
 from hillfield.model import Address, Target, TargetState, parse_address
+from hillfield.node.departures import DepartureStorage
 from hillfield.node.page import NodePage
 
 # No node but this one opens connections to its target, and no more than the
@@ -90,35 +90,31 @@
 class HeartbeatHandler(RequestHandler):
     """Take heartbeats and farewells of the host's target."""
 
-    def initialize(self, seating: IncarnationTracker, journal: Journal) -> None:
+    def initialize(
+        self, departures: DepartureStorage, journal: Journal
+    ) -> None:
         """Take where they go."""
-        self._seating = seating
+        self._departures = departures
+        self._seating = departures.tracker
         self._journal = journal
 
-    def put(self, name: str) -> None:
+    async def put(self, name: str) -> None:
         """Take a heartbeat; the answer binds the fleet."""
         read = read_heartbeat(self.request.body)
         if read.is_error():
             self._refuse(name, read.error)
             return
         announcement, sequence = read.ok
-        wall = read_wall()
-        told = self._seating.announce(
-            monotonic(),
-            wall,
-            name,
-            sequence,
-            announcement,
-        )
-        self._acknowledge(name, told)
+        now, wall = monotonic(), read_wall()
+        told = self._seating.announce(now, wall, name, sequence, announcement)
+        await self._acknowledge(name, told)
 
-    def delete(self, name: str) -> None:
+    async def delete(self, name: str) -> None:
         """Take a farewell; the answer binds the fleet."""
-        wall = read_wall()
-        told = self._seating.withdraw(monotonic(), name, wall)
-        self._acknowledge(name, told)
+        told = self._seating.withdraw(monotonic(), name, read_wall())
+        await self._acknowledge(name, told)
 
-    def _acknowledge(
+    async def _acknowledge(
         self,
         name: str,
         told: Result[Target, AnnouncementProblem],
@@ -127,6 +123,9 @@
         if told.is_error():
             problem = told.error
             self._note(name, f'{problem.field}: {problem.found}')
+        # What is acknowledged binds also after all nodes have been killed.
+        if not await self._departures.keep(name):
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
         self.set_header('Content-Type', 'application/json')
         self.finish(encode({}))
 
@@ -162,11 +161,11 @@
 
 def make_heartbeat_server(
     address: Address,
-    seating: IncarnationTracker,
+    departures: DepartureStorage,
     journal: Journal,
 ) -> PlainServer:
     """Return the server that the target calls."""
-    parts = {'seating': seating, 'journal': journal}
+    parts = {'departures': departures, 'journal': journal}
     paths = [('/instances/([^/]+)', HeartbeatHandler, parts)]
     return PlainServer(address, paths)
 
--- a/hillfield/platform/store.py
+++ b/hillfield/platform/store.py
@@ -54,8 +54,8 @@
 
     async def get(self, key: str) -> Result[StoredValue | None, StoreError]:
         """Read one key."""
-        query = urlencode({'key': key})
-        call = Call(CallKind.GET, 'GET', f'/kv-key?{query}')
+        path = f'/kv-key?{urlencode({"key": key})}'
+        call = Call(CallKind.GET, 'GET', path, patience=READ_PATIENCE)
         answer = await self._caller.send(call)
         if answer.is_error():
             return Error(answer.error)
