Hold connections that are open to the limits in force

What callers saw: a configuration raised maxBodyBytes, and on each connection from before it a body that was allowed now got 413, which no client repeats, for as long as the connection was kept. Heads got 431 in the same way.

Cause: a connection copied the limits when it was accepted: the stream its settings (the check of Content-Length and of heads), the parser its head limit, the buffer its size, and an awaited head the limit that was in force when the wait began. adopt_limits replaced the server's settings only.

Ruled out: a node that had not adopted it (new connections of the same node), the gate (413 comes from the node that read the head).

Fix: adopt_limits tells each open connection. The next head has the new limits, also one that is awaited already; a head that has begun, and its body, has the wider of both, so that nothing is refused that was sent under the old ones, and the request after it has the new ones.

--- a/hillfield/proxy/callers.py
+++ b/hillfield/proxy/callers.py
@@ -18,7 +18,7 @@
 from hillfield.proxy.replies import Reply
 from hillfield.proxy.requests import IncomingRequest
 from hillfield.proxy.slots import RefusalSlot, ResponseSlot
-from hillfield.proxy.streams import CallerStream
+from hillfield.proxy.streams import CallerStream, discard_rest
 from hillfield.proxy.timeouts import CallerTimeouts
 
 _LARGEST_BODY: Final = 1_000_000_000_000
@@ -53,7 +53,7 @@
         try:
             await self._serve()
         except (StreamClosedError, UnsatisfiableReadError):
-            await self.stream.drain()
+            await discard_rest(self.stream)
         except Exception as error:
             self._context.record_failure(describe_unexpected(error))
         finally:
@@ -69,7 +69,7 @@
                 retry_after=1,
             ),
         )
-        await self.stream.drain()
+        await discard_rest(self.stream)
 
     def refuse(self, failure: RequestFailure) -> bytes:
         """Return the answer to a malformed message."""
@@ -123,7 +123,7 @@
             self._incoming = IncomingRequest(self._context, reply)
             self._timeouts.expect_head()
             serving = await connection.read_response(self._incoming)
-        await self.stream.drain()
+        await discard_rest(self.stream)
 
     async def _wait_until_accepting(self) -> None:
         """Wait until pipelined requests and answers are within their limits."""
--- a/hillfield/proxy/connections.py
+++ b/hillfield/proxy/connections.py
@@ -46,6 +46,11 @@
         self.tasks[connection] = task
         task.add_done_callback(lambda _: self._forget(connection))
 
+    def adopt_settings(self) -> None:
+        """Apply changed settings to the connections that are open."""
+        for connection in self.tasks:
+            connection.stream.adopt(self._context.settings)
+
     def sweep(self, now: float) -> None:
         """End connections that timed out; `now` is in loop seconds."""
         for connection in tuple(self.tasks):
--- a/hillfield/proxy/replies.py
+++ b/hillfield/proxy/replies.py
@@ -30,7 +30,8 @@
 
     `begun`: part of the answer has been passed on for writing;
     `chunks`: the caller understands chunked bodies; `received_at`: when the
-    head of the request had arrived, in monotonic seconds.
+    head of the request had arrived, in monotonic seconds; `body_limit`: the
+    bytes of body that were allowed then.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self.method = ''
         self.received_at = stream.received_at
         self.chunks = True
+        self.body_limit = 0
         self._stream = stream
         self._dialect = dialect
 
@@ -60,6 +62,7 @@
         """Set how the answer is written according to the request's head."""
         self.method = start_line.method
         self.received_at = self._stream.received_at
+        self.body_limit = self._stream.head_settings.body_limit
         asked = headers.get('Connection', '').lower()
         self.slot.closing = draining or 'close' in asked
         if start_line.version == 'HTTP/1.0':
--- a/hillfield/proxy/requests.py
+++ b/hillfield/proxy/requests.py
@@ -84,7 +84,10 @@
             self._body.discard()
             return None
         self._planned.holder.record_body(self._body.size)
-        if self._body.size > self._context.settings.body_limit:
+        # A limit that was lowered amid the body counts for the next one.
+        settings = self._context.settings
+        limit = max(self.reply.body_limit, settings.body_limit)
+        if self._body.size > limit:
             _fail_reading(
                 exchange,
                 Fault.BODY_TOO_LARGE,
--- a/hillfield/proxy/server.py
+++ b/hillfield/proxy/server.py
@@ -70,14 +70,20 @@
         head_seconds: float,
         idle_seconds: float,
     ) -> None:
-        """Set the limits for what callers send from now on."""
-        self._context.settings = replace(
+        """Set the limits for what callers send from now on.
+
+        They hold on all connections, also on those that are open.
+        """
+        settings = replace(
             self._context.settings,
             head_limit=head_bytes,
             body_limit=body_bytes,
             head_timeout=head_seconds,
             idle_timeout=idle_seconds,
         )
+        if settings != self._context.settings:
+            self._context.settings = settings
+            self._connections.adopt_settings()
 
     def deliver(self, decisions: tuple[Decision, ...]) -> None:
         """Carry out decisions on queued requests."""
--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -6,6 +6,7 @@
 from select import POLLRDHUP, poll
 from typing import Any, Final, Protocol
 
+from msgspec.structs import replace
 from tornado.iostream import (
     IOStream,
     StreamClosedError,
@@ -37,12 +38,7 @@
         """Start with a connected or unconnected socket."""
         super().__init__(
             sock,
-            max_buffer_size=_BUFFERS
-            * max(
-                settings.part_size,
-                settings.head_limit,
-                settings.answer_head_limit,
-            ),
+            max_buffer_size=_compute_buffer(settings),
             read_chunk_size=settings.part_size,
         )
         self.settings = settings
@@ -86,6 +82,10 @@
     may lose the answer, so after a refusal the stream reads on for `linger`
     seconds. `ending`: no further request is served; `received_at`: when
     the last head had arrived, in monotonic seconds.
+
+    A connection outlives changes of the limits: `adopt` applies them to the
+    next head, also while it is awaited. `head_settings` hold for the request
+    whose head is read or was read last.
     """
 
     def __init__(
@@ -103,6 +103,7 @@
         self.reading_head = False
         self.lingering = False
         self.ending = False
+        self.head_settings = settings
         self._owner = owner
         self._intake = intake
         self._ended = False
@@ -112,9 +113,13 @@
         regex: bytes,
         max_bytes: int | None = None,
     ) -> bytes:
-        """Return a head that has passed the strict check."""
+        """Return a head that has passed the strict check.
+
+        The limit is that of the settings in force, not `max_bytes`.
+        """
         self.reading_head = True
-        head = await super().read_until_regex(regex, max_bytes)
+        self.head_settings = self.settings
+        head = await super().read_until_regex(regex, self.settings.head_limit)
         self.reading_head = False
         self.received_at = monotonic()
         await self._intake.enter()
@@ -122,12 +127,26 @@
             # No answer could follow, so a request that has arrived already must
             # not run; its caller will repeat it.
             raise StreamClosedError
-        failure = screen_head(head, self.settings)
+        failure = screen_head(head, self.head_settings)
         if failure is None:
             return head
         self.refuse(failure)
         raise StreamClosedError
 
+    def adopt(self, settings: ProxySettings) -> None:
+        """Apply changed limits; those of a head that has begun only grow."""
+        self.settings = settings
+        self.max_buffer_size = max(
+            self.max_buffer_size,
+            _compute_buffer(settings),
+        )
+        if self.reading_head:
+            if self.unread:
+                settings = _widen(settings, self.head_settings)
+            self.head_settings = settings
+            # Tornado has noted the limit when the read began.
+            self._read_max_bytes = settings.head_limit
+
     def write(self, chunk: bytes | memoryview) -> 'Future[None]':
         """Write, replacing tornado's refusal by our own."""
         if chunk == _TORNADO_REFUSAL:
@@ -158,7 +177,7 @@
         too_long = isinstance(exc_info, UnsatisfiableReadError)
         settled = self.lingering or self.ending
         if too_long and self.reading_head and not settled:
-            limit = self.settings.head_limit
+            limit = self.head_settings.head_limit
             self.refuse(
                 Fault.HEAD_TOO_LARGE.failure(f'over {limit} bytes of head'),
             )
@@ -193,14 +212,6 @@
         self.lingering = True
         flushed.add_done_callback(self._shut)
 
-    async def drain(self) -> None:
-        """Read and discard until the connection has ended."""
-        while not self.closed():
-            try:
-                await self.read_bytes(self.settings.part_size, partial=True)
-            except StreamClosedError:
-                return
-
     def abandon(self) -> None:
         """Close without lingering."""
         self.lingering = False
@@ -218,6 +229,33 @@
         get_running_loop().call_later(self.settings.linger, self.abandon)
 
 
+async def discard_rest(stream: NoDelayStream) -> None:
+    """Read and discard until the connection has ended."""
+    while not stream.closed():
+        try:
+            await stream.read_bytes(stream.settings.part_size, partial=True)
+        except StreamClosedError:
+            return
+
+
+def _compute_buffer(settings: ProxySettings) -> int:
+    """Return how many received bytes a stream holds at most."""
+    return _BUFFERS * max(
+        settings.part_size,
+        settings.head_limit,
+        settings.answer_head_limit,
+    )
+
+
+def _widen(settings: ProxySettings, earlier: ProxySettings) -> ProxySettings:
+    """Return settings that allow a request whatever either allows."""
+    return replace(
+        settings,
+        head_limit=max(settings.head_limit, earlier.head_limit),
+        body_limit=max(settings.body_limit, earlier.body_limit),
+    )
+
+
 def has_closed_writing(stream: IOStream) -> bool:
     """Return whether the caller has closed its side of the connection.
 
--- a/hillfield/proxy/tests/conftest.py
+++ b/hillfield/proxy/tests/conftest.py
@@ -33,6 +33,7 @@
 )
 
 TRIAL_SECONDS = 20
+MOST_HEAD = 1_000_000
 OK_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
 
@@ -188,7 +189,9 @@
         self.connections = 0
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.server = await asyncio.start_server(
+            self.serve, '127.0.0.1', 0, limit=MOST_HEAD
+        )
         return Address('127.0.0.1', self.server.sockets[0].getsockname()[1])
 
     async def serve(self, reader, writer):
