Let a gate read heads that its callers' nodes have accepted

What callers saw: requests with heads of 16,320 to 16,384 bytes got 503 always, and so did every head over 16,384 bytes after a configuration had raised maxHeaderBytes, on new connections too.

Cause: the same class as that of kept connections, settings of the start that a configuration doesn't reach: the gate's server kept its own head limit of 16,384 bytes, and a caller's head comes there with the hop's own headers.

Fix: the gate's limit is that of callers plus the room for a hop's headers, from the start and after each configuration. It never shrinks: the node that read the head has checked it, by a configuration that may be a moment older.

Tests that failed before: test_a_long_head_passes_both_nodes_once_it_is_allowed and test_a_head_of_the_limit_passes_both_nodes.

--- a/hillfield/gate/hop.py
+++ b/hillfield/gate/hop.py
@@ -54,6 +54,9 @@
 STEP: Final = 'Hillfield-Step'
 EVENT: Final = 'Hillfield-Event'
 HELD_BACK_EVENT: Final = str(int(EventCode.TARGET_HELD_BACK))
+# Bytes by which a hop's own headers lengthen a caller's head at most: a few
+# numbers, and names of the service, the route and the account.
+HOP_HEAD_ROOM: Final = 4096
 REPEAT_DECLINED_EVENT: Final = str(int(EventCode.REPEAT_DECLINED))
 # Steps of a gate before the first byte goes to its target.
 BEFORE_SENDING: Final = frozenset(
@@ -208,12 +211,19 @@
     return step == Step.ROUTE or headers.get(EVENT) == HELD_BACK_EVENT
 
 
-def add_capacity_header(settings: ProxySettings, gate: Gate) -> ProxySettings:
-    """Return settings of a request path that reports the gate's capacity."""
+def make_gate_settings(settings: ProxySettings, gate: Gate) -> ProxySettings:
+    """Return settings of a gate's server: it reports the gate's capacity.
+
+    It takes heads that are longer than those of callers by a hop's headers.
+    """
     callers = replace(
         settings.callers, report_capacity=partial(_write_header, gate)
     )
-    return replace(settings, callers=callers)
+    return replace(
+        settings,
+        callers=callers,
+        head_limit=settings.head_limit + HOP_HEAD_ROOM,
+    )
 
 
 def _write_header(gate: Gate) -> str:
--- a/hillfield/gate/tests/test_headers.py
+++ b/hillfield/gate/tests/test_headers.py
@@ -5,7 +5,7 @@
 
 from hillfield.events import ListJournal
 from hillfield.gate import Gate, HopDialect, ServedIncarnation
-from hillfield.gate.hop import add_capacity_header
+from hillfield.gate.hop import make_gate_settings
 from hillfield.loadreports import WithheldWork, read_capacity
 from hillfield.model import (
     Address,
@@ -29,7 +29,7 @@
 
 
 def write(gate):
-    settings = add_capacity_header(ProxySettings(Address('127.0.0.1', 0)), gate)
+    settings = make_gate_settings(ProxySettings(Address('127.0.0.1', 0)), gate)
     return settings.callers.report_capacity()
 
 
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -15,9 +15,10 @@
     Gate,
     GatePlans,
     IncarnationTracker,
-    add_capacity_header,
+    make_gate_settings,
+    HOP_HEAD_ROOM,
 )
-from hillfield.hostroutes import RouteTable
+from hillfield.hostroutes import RouteLimits, RouteTable
 from hillfield.model import Address
 from hillfield.node.adapterparts import AdapterParts, build_gated_parts
 from hillfield.node.calls import CallMeter
@@ -92,7 +93,7 @@
         self.seating = IncarnationTracker(parts.registry, self.gate)
         self._fittings = fittings
         self._hops = ProxyServer(
-            add_capacity_header(fittings.hops, self.gate),
+            make_gate_settings(fittings.hops, self.gate),
             GatePlans(self.gate, fittings.checks),
             self.gate,
             recording.journal,
@@ -109,6 +110,7 @@
             self.crashes,
         )
         self._gate_ticking: ScheduledCall | None = None
+        self._hop_head_limit = fittings.hops.head_limit + HOP_HEAD_ROOM
         fittings.planner.listener = self._adopt_table
         fittings.planner.runs = self.gate
         self.gate.watch_shares(parts.dispatchers.compute_repeats_share)
@@ -210,6 +212,22 @@
                 limits.head_seconds,
                 limits.idle_seconds,
             )
+            self._adopt_hop_limits(limits)
+
+    def _adopt_hop_limits(self, limits: RouteLimits) -> None:
+        """Let the gate take all that other nodes may have accepted.
+
+        They adopt a configuration earlier or later, so its limit never shrinks.
+        """
+        hops = self._fittings.hops
+        widest = limits.head_bytes + HOP_HEAD_ROOM
+        self._hop_head_limit = max(self._hop_head_limit, widest)
+        self._hops.adopt_limits(
+            self._hop_head_limit,
+            hops.body_limit,
+            hops.head_timeout,
+            hops.idle_timeout,
+        )
 
 
 async def _sleep_until(moment: float) -> None:
--- a/hillfield/platform/tests/test_kept_connections.py
+++ b/hillfield/platform/tests/test_kept_connections.py
@@ -80,3 +80,25 @@
         assert await caller.ask('lowered', BETWEEN * b'x') == 413
 
     play_site(tmp_path, story, TWO)
+
+
+def test_a_long_head_passes_both_nodes_once_it_is_allowed(tmp_path):
+    # Guards against heads that the node beside the target refuses always.
+    async def story(site):
+        caller = await open_caller(site.hosts[0])
+        assert await caller.ask('before') == 200
+        await change(site, 2, maxHeaderBytes=HIGH)
+        assert await caller.ask('kept', padding=BETWEEN) == 200
+        fresh = await open_caller(site.hosts[0])
+        assert await fresh.ask('fresh', padding=BETWEEN) == 200
+
+    play_site(tmp_path, story, TWO)
+
+
+def test_a_head_of_the_limit_passes_both_nodes(tmp_path):
+    # Guards against heads that are over a limit only with the node's own part.
+    async def story(site):
+        caller = await open_caller(site.hosts[0])
+        assert await caller.ask('long', padding=LOW - 150) == 200
+
+    play_site(tmp_path, story, TWO)
