--- a/hillfield/node/departures.py
+++ b/hillfield/node/departures.py
@@ -26,10 +26,12 @@
 # Seconds for which the acknowledgement of a departure waits for the store: a
 # target takes an answer that comes later than 1 s for none.
 ACKNOWLEDGEMENT_SECONDS: Final = 0.8
-# Seconds between attempts to read or to write; the longest between readings
-# bounds how late a departure binds once the store is back.
+# Seconds between attempts to read or to write, the longest between readings,
+# and their part of the time since the first one: soon after a start a target
+# that has left may still serve, and in a long outage calls are dear.
 RETRY_INTERVAL: Final = 0.2
-MAXIMUM_BACKOFF: Final = 1.0
+MAXIMUM_BACKOFF: Final = 8.0
+BACKOFF_PART: Final = 0.25
 
 
 class Departure(Struct, frozen=True, array_like=True):
@@ -65,11 +67,18 @@
         self._writing: Task[None] | None = None
 
     async def run(self) -> None:
-        """Read the departures; repeat until the store answers."""
-        interval = RETRY_INTERVAL
-        while not await self._read():
-            await get_shared_timer().sleep_for(interval)
-            interval = min(2 * interval, MAXIMUM_BACKOFF)
+        """Read the departures; repeat until the store answers.
+
+        What the node before has stored ends with its lease.
+        """
+        began = monotonic()
+        elapsed = float()
+        while elapsed < LEASE_SECONDS and not await self._read():
+            elapsed = monotonic() - began
+            wait_seconds = max(RETRY_INTERVAL, BACKOFF_PART * elapsed)
+            await get_shared_timer().sleep_for(
+                min(wait_seconds, MAXIMUM_BACKOFF),
+            )
 
     async def keep(self, name: str) -> bool:
         """Return whether the store has the departure of a target, if it leaves.
