--- a/hillfield/gate/incarnations.py
+++ b/hillfield/gate/incarnations.py
@@ -324,7 +324,7 @@
     return AnnouncementProblem(
         Refusal.HELD,
         'name',
-        name,
+        f'{name}, held until the departures in the store are read',
         'no action is needed: it is taken once the departures are read',
     )
 
--- a/hillfield/node/stopping.py
+++ b/hillfield/node/stopping.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 from msgspec import Struct
-from msgspec.structs import asdict
 
 # Seconds to stop for which the steps below are made. Of less time, each step
 # takes its part.
@@ -56,8 +55,3 @@
         part * LAST_REQUEST,
         grace - part * LAST_ANSWERS_BEFORE_KILL,
     )
-
-
-def list_steps(schedule: StopSchedule) -> tuple[float, ...]:
-    """Return the moments of the steps in the order of their names."""
-    return tuple(asdict(schedule).values())
