--- a/hillfield/gate/tests/test_incarnations.py
+++ b/hillfield/gate/tests/test_incarnations.py
@@ -232,8 +232,7 @@
 
 
 def test_what_answers_say_of_leaving_is_no_departure_to_store(seating):
-    # Guards against heartbeats whose acknowledgement waits for the store
-    # though they promise nothing.
+    # Guards against acknowledgements that wait for the store for nothing.
     served = seating.announce(0, WALL, 'i-1', 1, LIVING)
     seating.record_leaving(1, served.ok.id)
     seating.announce(2, WALL, 'i-1', 2, LIVING)
--- a/hillfield/platform/tests/test_departures.py
+++ b/hillfield/platform/tests/test_departures.py
@@ -39,8 +39,7 @@
 
 
 def test_a_farewell_outlives_all_nodes_and_the_heartbeats_after_it(tmp_path):
-    # Guards against late heartbeats that revive a target after all nodes were
-    # killed: the site goes on to send them, in order.
+    # Guards against late heartbeats that revive a target that has left.
     async def story(site):
         leaving = site.hosts[0]
         assert await leaving.target.leave(leaving.control) == 200
@@ -51,8 +50,7 @@
 
 
 def test_a_drain_outlives_all_nodes_and_a_late_heartbeat(tmp_path):
-    # Guards against a late heartbeat that takes a drain back after all nodes
-    # were killed.
+    # Guards against a late heartbeat that takes a forgotten drain back.
     async def story(site):
         leaving = site.hosts[0]
         control = leaving.control
@@ -104,8 +102,7 @@
 
 
 def test_a_departure_binds_once_the_store_answers_again(tmp_path):
-    # Guards against farewells forgotten where a node starts while the store is
-    # away.
+    # Guards against farewells forgotten where the store is away at a start.
     async def story(site):
         leaving = site.hosts[0]
         assert await leaving.target.leave(leaving.control) == 200
--- a/hillfield/proxy/tests/test_draining.py
+++ b/hillfield/proxy/tests/test_draining.py
@@ -96,8 +96,7 @@
 
 
 async def test_a_queued_request_that_a_stop_leaves_no_time_is_refused(proxy):
-    # Guards against requests held until the end of a stop that can't serve
-    # them any more.
+    # Guards against requests held to the end of a stop that can't serve them.
     proxy.dispatching.queueing = True
     settings = {'drain_grace': 0.3, 'drain_timeout': 1.2}
     async with drain_around(proxy, **settings) as (target, reader, writer):
