Use the tests' own kill and list of nodes behind in the new tests

test_departures.py ended nodes by a copy of kill, test_kept_connections.py asked which nodes lack a revision by a copy of list_behind; both stand in test_in_force.py. Assertions and bounds are as before.

--- a/hillfield/platform/tests/test_departures.py
+++ b/hillfield/platform/tests/test_departures.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 from hillfield.platform.tests.installation import play_site
+from hillfield.platform.tests.test_in_force import kill
 
 TWO = ('refunds', 'refunds')
 # Seconds of the users' pages: an answer later than this is no answer.
@@ -16,10 +17,7 @@
 
 async def kill_all(site):
     """Kill all nodes at one moment and start them again."""
-    nodes = [host.node for host in site.hosts]
-    for host in site.hosts:
-        host.node = None
-    await asyncio.gather(*(node.abandon() for node in nodes))
+    await kill(site.hosts)
     await asyncio.gather(*map(site.start_node, site.hosts))
 
 
@@ -92,9 +90,7 @@
     async def story(site):
         host = site.hosts[0]
         site.store.down = True
-        node = host.node
-        host.node = None
-        await node.abandon()
+        await kill([host])
         await site.start_node(host)
         await site.settle(partial(serves, host), HELD)
 
--- a/hillfield/platform/tests/test_kept_connections.py
+++ b/hillfield/platform/tests/test_kept_connections.py
@@ -11,6 +11,7 @@
     make_configuration,
     play_site,
 )
+from hillfield.platform.tests.test_in_force import KEY, list_behind
 
 TWO = ('desk', 'refunds')
 LOW = 16384
@@ -48,24 +49,18 @@
     return Caller(*opened)
 
 
-def configure(site, version, **limits):
-    limits = {**LIMITS, **limits}
-    entry = make_configuration(version, *RULES, limits=limits)
-    site.store.put('op/config', entry)
-
-
-async def holds(site, version):
-    """Tell whether all nodes have a version in force."""
-    return all(
-        host.node.parts.replica.digest().newest >= version
-        for host in site.hosts
-    )
+async def is_in_force(site, revision):
+    """Tell whether no node lacks a revision."""
+    return not list_behind(site, revision)
 
 
 async def change(site, version, **limits):
-    configure(site, version, **limits)
+    """Change the limits; return once all nodes have them in force."""
+    limits = {**LIMITS, **limits}
+    entry = make_configuration(version, *RULES, limits=limits)
+    site.store.put(KEY, entry)
     revision = site.store.revision
-    await site.settle(partial(holds, site, revision), PROMISED)
+    await site.settle(partial(is_in_force, site, revision), PROMISED)
 
 
 def test_a_kept_connection_gets_the_body_limit_in_force(tmp_path):
