--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -741,10 +741,12 @@
         except (CannotRun, OSError, TimeoutError) as error:
             site.record.note('verdict', f'could not run: {error!r}')
             return 2
-        except Exception as error:
-            site.record.note('verdict', f'the script failed: {error!r}')
-            return 2
         finally:
             await site.stop()
 
-    sys.exit(asyncio.run(act()))
+    try:
+        result = asyncio.run(act())
+    except Exception as error:
+        print(f'the script failed: {error!r}')
+        result = 2
+    sys.exit(result)
