Say in the log whose answer cleared a request that had crashed targets

Cause: CRASHING_REQUEST_CLEARED named the fingerprint alone. That two callers share one fingerprint could not be told from one target that bears the request.

Change: the event names the answered request and the service on whose host it began.

--- a/hillfield/gate/attempts.py
+++ b/hillfield/gate/attempts.py
@@ -12,6 +12,7 @@
 from hillfield.loadreports.reports import LoadReport
 from hillfield.model import TargetId, TargetNotice
 from hillfield.routing.phases import AttemptTrigger
+from hillfield.routing.requests import Arrival
 
 MILLISECONDS: Final = 1000
 
@@ -22,8 +23,8 @@
 AnswerListener = Callable[[float, LoadReport], None]
 # Called when the served incarnation announces that it leaves.
 LeavingListener = Callable[[float, TargetId], None]
-# Called with the fingerprint of each request that the target answered well.
-ServedListener = Callable[[bytes], None]
+# Called with each request that the target answered well.
+ServedListener = Callable[[Arrival], None]
 
 
 class RepeatRecorder:
@@ -60,7 +61,7 @@
         self._report_number = 0
         self.on_lost: LossListener = _ignore_target
         self.on_replaced: LossListener = _ignore_target
-        self.on_served: ServedListener = _ignore_fingerprint
+        self.on_served: ServedListener = _ignore_arrival
         self.on_leaving: LeavingListener = _ignore_leaving
         self.on_answer: AnswerListener = _ignore_report
 
@@ -144,8 +145,8 @@
     """Ignore the target."""
 
 
-def _ignore_fingerprint(fingerprint: bytes) -> None:
-    """Ignore the fingerprint."""
+def _ignore_arrival(arrival: Arrival) -> None:
+    """Ignore the request."""
 
 
 def _ignore_leaving(now: float, target: TargetId) -> None:
--- a/hillfield/gate/gate.py
+++ b/hillfield/gate/gate.py
@@ -77,7 +77,7 @@
         if isinstance(observation, Broken):
             self.on_lost(attempt_record.target.id)
         elif is_success(observation):
-            self.on_served(attempt_record.record.arrival.fingerprint)
+            self.on_served(attempt_record.record.arrival)
         return decision
 
     def compute_hedge_delay(self, plan: RequestPlan) -> None:
--- a/hillfield/node/crashes.py
+++ b/hillfield/node/crashes.py
@@ -24,6 +24,7 @@
 from hillfield.fleet.records import NodeRecord
 from hillfield.fleet.slots import compute_rank
 from hillfield.model import RequestFailure
+from hillfield.routing.requests import Arrival
 
 # Rank of a node that has not joined the fleet: it neither lets a trial run
 # nor writes to the store.
@@ -78,12 +79,13 @@
         self.merge(now, Findings(rows))
         self.on_findings(Findings(rows))
 
-    def record_answered(self, fingerprint: bytes) -> None:
+    def record_answered(self, arrival: Arrival) -> None:
         """Record that this host's target answered a request and kept running."""
+        fingerprint = arrival.fingerprint
         self._served.record(monotonic(), fingerprint)
         case = self.registry.cases.get(fingerprint)
         if case is not None and case.exits:
-            self.clear(fingerprint, SERVED)
+            self.clear(fingerprint, f'{SERVED}: {_describe(arrival)}')
 
     def clear(self, fingerprint: bytes, reason: str) -> bool:
         """Mark a request as harmless at all nodes; False if it is unknown."""
@@ -191,6 +193,12 @@
         return case.claim_trial(now)
 
 
+def _describe(arrival: Arrival) -> str:
+    """Return which request was answered, and where it began."""
+    plan = arrival.plan
+    return f'request {arrival.request}, service {plan.origin}'
+
+
 def _ignore_findings(received: Findings) -> None:
     """Drop findings; no recipient is set yet."""
 
