Recognize a crashing request by its caller too, so that no other caller clears it

What callers saw: a lookup from one service made target after target exit, without end, since the same path is harmless when another service sends it.

Cause: the identity of a request held its path, account and body. Of its caller only the account counted, which callers of a platform without accounts share. So both requests had one fingerprint, and each answer to the harmless one dropped the evidence at all nodes.

The caller is the service on whose host the request began and its account. Host is normalized as the routes do, so its spelling makes no second request.

The test failed before (targets went on exiting) and passes now.

--- a/hillfield/crashes/__init__.py
+++ b/hillfield/crashes/__init__.py
@@ -1,7 +1,11 @@
 """Requests that make targets exit, recognized by fingerprint and refused."""
 
 from hillfield.crashes.comparing import ComparisonTimer
-from hillfield.crashes.fingerprints import Fingerprinter, RequestIdentity
+from hillfield.crashes.fingerprints import (
+    Fingerprinter,
+    RequestCaller,
+    RequestIdentity,
+)
 from hillfield.crashes.messages import (
     ClearRow,
     Comparison,
@@ -27,6 +31,7 @@
     'Fingerprinter',
     'Findings',
     'Inquiry',
+    'RequestCaller',
     'RequestIdentity',
     'LostRuns',
     'Message',
--- a/hillfield/crashes/fingerprints.py
+++ b/hillfield/crashes/fingerprints.py
@@ -15,18 +15,30 @@
 BODY_BYTES: Final = 65536
 
 
+class RequestCaller(Struct, frozen=True):
+    """Hold who sends a request, as its target sees it.
+
+    `service` is the one on whose host the request began (empty: unknown),
+    `account` its client account (empty: none).
+    """
+
+    service: str
+    account: str
+
+
 class RequestIdentity(Struct, frozen=True):
     """Hold what two copies of the same request have in common.
 
-    `account` is its client account, so that requests of different accounts
-    never have the same identity. The request's id and the node or host from
-    which it comes are no part of it.
+    These are its path with the query, its caller and its body, and the method
+    and `authority`, the normalized name of the addressed site, without which a
+    path names nothing. What one caller sends never counts for or against
+    another. The request's id and the node that received it are no part of it.
     """
 
     method: str
-    host: str
+    authority: str
     path: str
-    account: str
+    caller: RequestCaller
     body: bytes = b''
 
 
@@ -37,8 +49,9 @@
     request with the fingerprint of another caller's request.
 
     >>> fingerprinter = Fingerprinter(b'key')
-    >>> lookup = RequestIdentity('GET', 'till', '/a', '')
-    >>> again = RequestIdentity('GET', 'till', '/a', '')
+    >>> caller = RequestCaller('desk', '')
+    >>> lookup = RequestIdentity('GET', 'till', '/a', caller)
+    >>> again = RequestIdentity('GET', 'till', '/a', caller)
     >>> fingerprinter.compute(lookup) == fingerprinter.compute(again)
     True
     >>> fingerprinter.compute(lookup) == Fingerprinter(b'other').compute(lookup)
@@ -55,9 +68,10 @@
         digest = self._empty.copy()
         head = (
             identity.method,
-            identity.host,
+            identity.authority,
             identity.path,
-            identity.account,
+            identity.caller.service,
+            identity.caller.account,
             '',
         )
         digest.update('\n'.join(head).encode('utf-8', 'surrogateescape'))
--- a/hillfield/hostroutes/routes.py
+++ b/hillfield/hostroutes/routes.py
@@ -7,6 +7,7 @@
 
 from hillfield.configuration.schema.accounts import FleetAccount
 from hillfield.configuration.schema.credentials import hash_secret
+from hillfield.model import normalize_authority
 
 SLASH: Final = '/'
 
@@ -110,7 +111,7 @@
 
     def find(self, host: str, path: str) -> HostRoute | None:
         """Return the route with the longest prefix of the path."""
-        prefixes = self._hosts.get(host.partition(':')[0].lower())
+        prefixes = self._hosts.get(normalize_authority(host))
         if prefixes is None:
             return None
         rest = path.partition('?')[0]
--- a/hillfield/model/__init__.py
+++ b/hillfield/model/__init__.py
@@ -1,6 +1,10 @@
 """Immutable values that all parts of hillfield share."""
 
-from hillfield.model.addresses import Address, parse_address
+from hillfield.model.addresses import (
+    Address,
+    normalize_authority,
+    parse_address,
+)
 from hillfield.model.notices import (
     NO_NOTICE,
     IncarnationNotice,
@@ -40,5 +44,6 @@
     'Urgency',
     'encode_row',
     'is_struct',
+    'normalize_authority',
     'parse_address',
 )
--- a/hillfield/model/addresses.py
+++ b/hillfield/model/addresses.py
@@ -53,6 +53,15 @@
     return port.map(lambda known: Address(str(number), known))
 
 
+def normalize_authority(text: str) -> str:
+    """Return the name that a Host header gives, by which requests are routed.
+
+    >>> normalize_authority('TILL.example:80')
+    'till.example'
+    """
+    return text.partition(':')[0].lower()
+
+
 def _parse_port(text: str) -> Result[int, str]:
     if not text.isascii() or not text.isdigit():
         return Error(f'{text!r} is not a port; write 0 to 65535')
--- a/hillfield/node/crashes.py
+++ b/hillfield/node/crashes.py
@@ -57,9 +57,9 @@
         """Set the source of this node's record and of the live members."""
         self._core = core
 
-    def identify(self, likeness: RequestIdentity) -> bytes:
+    def identify(self, identity: RequestIdentity) -> bytes:
         """Return the fingerprint of a request."""
-        return self._printer.compute(likeness)
+        return self._printer.compute(identity)
 
     def record_exit(self, target_exit: TargetExit) -> None:
         """Record an exit of this host's target, and report it to all nodes."""
@@ -150,9 +150,9 @@
         """Decide by the cases of this node."""
         self._tracker = tracker
 
-    def compute_fingerprint(self, likeness: RequestIdentity) -> bytes:
+    def compute_fingerprint(self, identity: RequestIdentity) -> bytes:
         """Return the fingerprint of a request."""
-        return self._tracker.identify(likeness)
+        return self._tracker.identify(identity)
 
     def find_crash_refusal(
         self,
--- a/hillfield/platform/tests/crashers.py
+++ b/hillfield/platform/tests/crashers.py
@@ -21,18 +21,31 @@
 
 
 class Callers:
-    """Send requests under new ids, at each node in turn."""
+    """Send requests under new ids, at each node in turn.
 
-    def __init__(self, site):
+    With a `service`, only at the nodes on its hosts.
+    """
+
+    def __init__(self, site, service=''):
         self.site = site
+        self.service = service
         self.sent = 0
 
+    @property
+    def hosts(self):
+        return [
+            host
+            for host in self.site.hosts
+            if self.service in {'', host.target.service}
+        ]
+
     async def send(self, path, host=None, **more):
         self.sent += 1
-        hosts = self.site.hosts
+        hosts = self.hosts
         chosen = host or hosts[self.sent % len(hosts)]
         more.setdefault('method', 'GET')
-        return await self.site.send(chosen, path, f'c{self.sent}', **more)
+        name = f'c{self.sent}{self.service}'
+        return await self.site.send(chosen, path, name, **more)
 
     async def end_three(self, path=DEADLY, **more):
         """Come again and again until three targets have ended."""
--- a/hillfield/platform/tests/crashing.py
+++ b/hillfield/platform/tests/crashing.py
@@ -14,6 +14,7 @@
 class CrashingTarget(StandInTarget):
     """End under requests for a path that begins with `deadly`.
 
+    Only requests from the service `deadly_from` are deadly, if that is set.
     Each life has a name of its own. `ends` holds the ids of the requests that
     ended it, with the moments.
     """
@@ -21,6 +22,7 @@
     def __init__(self, address, service, name, deadly='/reads/deadly'):
         super().__init__(address, service, name)
         self.deadly = deadly
+        self.deadly_from = ''
         self.first_name = name
         self.ends = []
         self.away = AWAY
@@ -29,7 +31,7 @@
     def note_run(self, run):
         """Begin to run a request; a deadly one ends the target soon."""
         seconds = super().note_run(run)
-        if not run.path.startswith(self.deadly):
+        if not self._is_deadly(run):
             return seconds
         if not self._burning:
             self._burning = True
@@ -40,6 +42,11 @@
         if not self._burning:
             await super().announce(control, state, sequence)
 
+    def _is_deadly(self, run):
+        if self.deadly_from not in {'', run.caller}:
+            return False
+        return run.path.startswith(self.deadly)
+
     async def _burn(self, run):
         await asyncio.sleep(FUSE)
         now = asyncio.get_running_loop().time()
--- a/hillfield/platform/tests/test_crashing.py
+++ b/hillfield/platform/tests/test_crashing.py
@@ -22,10 +22,13 @@
     KNOWN_WITHIN,
     Callers,
     count_runs,
+    is_refusal,
+    list_ends,
     play_crashing,
 )
 
 SECONDS = 3.0
+TWO_CALLERS = ('refunds',) * 4 + ('desk',) * 2
 
 
 def test_no_target_gets_a_request_again_under_which_three_ended(tmp_path):
@@ -41,3 +44,34 @@
         assert count_runs(site) == before
 
     play_crashing(tmp_path, story)
+
+
+def test_answers_to_another_caller_clear_no_crashing_request(tmp_path):
+    # Guards against a request that ends targets for ever, since the same path
+    # is harmless when another caller sends it.
+    async def story(site):
+        for host in site.hosts:
+            host.target.deadly_from = 'desk'
+        deadly = Callers(site, 'desk')
+        harmless = Callers(site, 'refunds')
+        answers = []
+
+        async def ask_harmlessly():
+            while True:
+                answers.append(await harmless.send(DEADLY))
+                await asyncio.sleep(0.05)
+
+        asking = asyncio.create_task(ask_harmlessly())
+        await deadly.end_three()
+        await asyncio.sleep(KNOWN_WITHIN)
+        before = len(list_ends(site))
+        end = asyncio.get_running_loop().time() + SECONDS
+        while asyncio.get_running_loop().time() < end:
+            assert is_refusal(await deadly.send(DEADLY))
+            await asyncio.sleep(0.05)
+        asking.cancel()
+        assert len(list_ends(site)) == before
+        assert not any(map(is_refusal, answers))
+        assert answers[-1].code == 200
+
+    play_crashing(tmp_path, story, TWO_CALLERS)
--- a/hillfield/proxy/plannedrequests.py
+++ b/hillfield/proxy/plannedrequests.py
@@ -5,9 +5,9 @@
 from msgspec import Struct
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from hillfield.crashes import RequestIdentity
+from hillfield.crashes import RequestCaller, RequestIdentity
 from hillfield.holding import ByteReservation
-from hillfield.model import RequestPlan
+from hillfield.model import RequestPlan, normalize_authority
 from hillfield.proxy.bodies import RequestBody
 from hillfield.proxy.dialects import TargetDialect
 from hillfield.proxy.fields import Fields
@@ -58,11 +58,12 @@
 
     Of a streamed body, only the part received so far counts.
     """
+    plan = planned.plan
     return RequestIdentity(
         planned.start_line.method,
-        planned.headers.get('Host', ''),
+        normalize_authority(planned.headers.get('Host', '')),
         planned.start_line.path,
-        planned.plan.account,
+        RequestCaller(plan.origin, plan.account),
         planned.body.join(),
     )
 
--- a/hillfield/proxy/ports.py
+++ b/hillfield/proxy/ports.py
@@ -42,7 +42,7 @@
 class CrashGuard(Protocol):
     """Registry of requests that crash the targets that run them."""
 
-    def compute_fingerprint(self, likeness: RequestIdentity) -> bytes:
+    def compute_fingerprint(self, identity: RequestIdentity) -> bytes:
         """Return the fingerprint of a request."""
 
     def find_crash_refusal(
@@ -57,7 +57,7 @@
 class NoCrashGuard:
     """Crash guard that recognizes no request."""
 
-    def compute_fingerprint(self, likeness: RequestIdentity) -> bytes:
+    def compute_fingerprint(self, identity: RequestIdentity) -> bytes:
         """Return an empty fingerprint."""
         return b''
 
