Hold heartbeats after a start until the departures are known, and let other nodes tell them

What callers saw: a target that had announced that it leaves, and had the acknowledgement, got requests again 4 s and more after it. Its node had been killed and started again while the store gave that machine no answer.

Cause: a started node held heartbeats until it had read the departures, but 2 s at most. The end of that wait was taken for the answer "none has left": a heartbeat from before the farewell then counted as that of a new target.

The departure itself was in the store: with the store answering the case holds. Ruled out by that: a departure that was acknowledged without having been written.

Change: the wait ends by knowledge. The store tells it, as before. Else the other nodes do: each departure is told to all of them, in one datagram each, before it is acknowledged. A started node that the store has not answered within 0.3 s asks some of them. They answer with what they were told, whether they knew an earlier process of that node (which would have told them), and, after three rounds, with what they read in the store for it. Three nodes of two failure domains have to vouch, or all there are; after three rounds one. Nobody's answer is no knowledge: nodes that nobody can tell have no configuration either.

Ways weighed: departures as replicated entries (each would wake all watches of the store, and its end again); in the member records (some 300 kB a departure at 600 nodes, where these datagrams are 54 kB, reckoned); a longer wait (ends by the clock as well).

"A heartbeat waits no longer than a call to the store" wanted a heartbeat of before the start to count after 2 s: now it never counts, and one after all departures are forgotten does.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -116,6 +116,7 @@
     CONTROL_REQUEST_FAILED = 7006
     DEPARTURES_RESTORED = 7007
     DEPARTURES_NOT_STORED = 7008
+    DEPARTURES_LEARNED = 7009
 
 
 SEVERITIES: Final[Mapping[EventCode, str]] = MappingProxyType(
@@ -227,5 +228,6 @@
         EventCode.CONTROL_REQUEST_FAILED: 'error',
         EventCode.DEPARTURES_RESTORED: 'info',
         EventCode.DEPARTURES_NOT_STORED: 'warning',
+        EventCode.DEPARTURES_LEARNED: 'info',
     }
 )
--- a/hillfield/fleet/state_table.py
+++ b/hillfield/fleet/state_table.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterator, Mapping
+from typing import Final
 
 from hillfield.fleet.messages import StateUpdate, Version
 from hillfield.fleet.records import NodeRecord, RecordCodec, UpdateKind
@@ -9,6 +10,8 @@
 
 # Kinds that neighbours compare by hashes; evidence is published again instead.
 SUMMARIZED_KINDS = frozenset((UpdateKind.MEMBER, UpdateKind.TARGETS))
+# Names of nodes that are remembered after the nodes were lost.
+NAMES_REMEMBERED: Final = 4096
 
 
 def make_update_key(kind: str, name: str) -> str:
@@ -43,7 +46,11 @@
 
 
 class StateTable:
-    """Hold the newest update of each kind and name."""
+    """Hold the newest update of each kind and name.
+
+    `known_before` names the nodes of which an earlier process was known here,
+    the latest ones last.
+    """
 
     def __init__(self, codec: RecordCodec) -> None:
         """Start empty."""
@@ -51,6 +58,7 @@
         self.summary = Summary()
         self.alive: frozenset[str] = frozenset()
         self.members_stale = False
+        self.known_before: dict[str, None] = {}
         self.held_bytes = 0
         self._codec = codec
         self._held: dict[str, StateUpdate] = {}
@@ -81,6 +89,9 @@
             return False
         if update.kind == UpdateKind.MEMBER and not self._adopt_record(update):
             return False
+        if update.kind == UpdateKind.MEMBER:
+            if has_known_before(self, update.name, update.incarnation):
+                _remember(self.known_before, update.name)
         self._drop(key)
         self._held[key] = update
         self.held_bytes += len(update.payload)
@@ -103,7 +114,8 @@
 
     def forget(self, name: str) -> None:
         """Drop all updates of a lost node."""
-        self.records.pop(name, None)
+        if self.records.pop(name, None) is not None:
+            _remember(self.known_before, name)
         for kind in UpdateKind:
             key = make_update_key(kind, name)
             self._drop(key)
@@ -137,3 +149,19 @@
                 held = self.get(kind, name)
                 if held is not None:
                     yield held
+
+
+def has_known_before(table: StateTable, name: str, incarnation: int) -> bool:
+    """Return whether a process of a node before this one was known here."""
+    held = table.get(UpdateKind.MEMBER, name)
+    if held is not None and held.incarnation < incarnation:
+        return True
+    return name in table.known_before
+
+
+def _remember(names: dict[str, None], name: str) -> None:
+    """Remember a name as the latest one; the oldest goes."""
+    names.pop(name, None)
+    names[name] = None
+    if len(names) > NAMES_REMEMBERED:
+        names.pop(next(iter(names)))
--- a/hillfield/gate/incarnations.py
+++ b/hillfield/gate/incarnations.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 from expression import Error, Result
-from msgspec import Struct
 from msgspec.structs import replace
 
 from hillfield.announcements import (
@@ -16,57 +15,11 @@
 )
 from hillfield.announcements.messages import Refusal
 from hillfield.gate.gate import Gate
+from hillfield.gate.heldheartbeats import HeldHeartbeat, HeldHeartbeats
 from hillfield.gate.served import ServedIncarnation
 from hillfield.model import Target, TargetId, TargetState
 
 NAMES_KEPT: Final = 64
-# Seconds for which heartbeats of targets that a started node doesn't know wait
-# for the departures in the store: a call that isn't answered ends by then.
-HOLD_SECONDS: Final = 2.0
-
-
-class HeldHeartbeat(Struct, frozen=True):
-    """Hold a heartbeat; `wall` is the wall clock at its arrival."""
-
-    wall: int
-    sequence: int
-    announcement: Announcement
-
-
-class HeldHeartbeats:
-    """Hold heartbeats until the departures in the store are known."""
-
-    def __init__(self) -> None:
-        """Hold none."""
-        self._until = float('-inf')
-        self._by_name: dict[str, HeldHeartbeat] = {}
-
-    def start(self, now: float) -> None:
-        """Hold heartbeats from now on, for `HOLD_SECONDS` at most."""
-        self._until = now + HOLD_SECONDS
-
-    def end(self) -> None:
-        """Hold no more: the departures are known."""
-        self._until = float('-inf')
-
-    def hold(self, now: float, name: str, beat: HeldHeartbeat) -> bool:
-        """Hold a target's newest heartbeat; False if it need not wait."""
-        if now >= self._until:
-            return False
-        self._by_name[name] = beat
-        return True
-
-    def drop(self, name: str) -> None:
-        """Drop the heartbeat of a target that leaves."""
-        self._by_name.pop(name, None)
-
-    def take_due(self, now: float) -> dict[str, HeldHeartbeat]:
-        """Return and forget the heartbeats that need not wait any more."""
-        if now < self._until:
-            return {}
-        due = self._by_name
-        self._by_name = {}
-        return due
 
 
 class Departures:
@@ -139,8 +92,8 @@
     and no state of the earlier incarnation applies to the new one.
 
     The node that stopped or was killed before may have acknowledged that a
-    target leaves. So heartbeats wait until `restore` has told the departures
-    that it stored, or for some seconds, once `held` has been started.
+    target leaves. So heartbeats wait, once `held` has been started, until
+    `restore` has told all of these departures.
     """
 
     def __init__(self, registry: TargetRegistry, gate: Gate) -> None:
@@ -154,7 +107,13 @@
         gate.on_leaving = self.record_leaving
 
     def restore(self, now: float, starts: Mapping[str, int]) -> None:
-        """Apply the departures that the store holds, however late.
+        """Apply all departures that were acknowledged, however late."""
+        self.apply_departures(now, starts)
+        self.held.end()
+        self.release_held(now)
+
+    def apply_departures(self, now: float, starts: Mapping[str, int]) -> None:
+        """Apply departures that are known; there may be others.
 
         An incarnation that was served meanwhile and is among them leaves.
         """
@@ -163,8 +122,6 @@
             newer = named is not None and (named.born or 0) > start
             if not newer and self.departures.starts.get(name, 0) < start:
                 self._withdraw(now, name, start)
-        self.held.end()
-        self.release_held(now)
 
     def release_held(self, now: float) -> None:
         """Process the heartbeats that were held, once they need not wait."""
@@ -324,8 +281,8 @@
     return AnnouncementProblem(
         Refusal.HELD,
         'name',
-        f'{name}, held until the departures in the store are read',
-        'no action is needed: it is taken once the departures are read',
+        f'{name}, held until the departures at this host are known',
+        'no action is needed: it is taken once they are known',
     )
 
 
--- a/hillfield/gate/tests/test_incarnations.py
+++ b/hillfield/gate/tests/test_incarnations.py
@@ -4,14 +4,11 @@
 from pytest import fixture
 
 from hillfield.announcements import Announcement, TargetRegistry
+from hillfield.departures import DEPARTURE_SECONDS
 from hillfield.events import ListJournal
 from hillfield.gate import Gate
 from hillfield.gate.health import AttemptResult
-from hillfield.gate.incarnations import (
-    HOLD_SECONDS,
-    NAMES_KEPT,
-    IncarnationTracker,
-)
+from hillfield.gate.incarnations import NAMES_KEPT, IncarnationTracker
 from hillfield.model import Address, RequestPlan, TargetState
 from hillfield.routing.requests import Arrival
 from hillfield.settings.examples import make_example
@@ -174,16 +171,36 @@
     assert seating.gate.serving.name == 'i-1'
 
 
-def test_a_heartbeat_waits_no_longer_than_a_call_to_the_store(seating):
-    # Guards against targets without requests while the store is away.
+def test_a_heartbeat_from_before_the_start_is_never_believed(seating):
+    # Guards against a late heartbeat that counts because time has passed.
     seating.held.start(0)
-    seating.announce(0.1, WALL, 'i-1', 1, LIVING)
-    seating.release_held(HOLD_SECONDS - 0.1)
+    last = DEPARTURE_SECONDS - 0.1
+    assert seating.announce(0.1, WALL, 'i-1', 1, LIVING).is_error()
+    assert seating.announce(last, WALL, 'i-1', 2, LIVING).is_error()
+    seating.release_held(DEPARTURE_SECONDS)
     assert not is_served(seating, 'i-1')
-    seating.release_held(HOLD_SECONDS)
+
+
+def test_a_heartbeat_counts_once_all_departures_are_forgotten(seating):
+    # Guards against targets that never get a request.
+    seating.held.start(0)
+    seating.announce(0.1, WALL, 'i-1', 1, LIVING)
+    seating.announce(DEPARTURE_SECONDS, WALL, 'i-1', 2, LIVING)
     assert is_served(seating, 'i-1')
 
 
+def test_a_departure_that_another_node_tells_binds_before_all_are_known(
+    seating,
+):
+    # Guards against a departure that waits for others that nobody knows.
+    seating.held.start(0)
+    seating.announce(0.1, WALL, 'i-1', 1, LIVING)
+    seating.apply_departures(0.2, {'i-1': BORN})
+    assert seating.held.is_holding(0.3)
+    seating.restore(0.4, {})
+    assert seating.gate.serving is None
+
+
 def test_a_departure_that_is_read_late_still_binds(seating):
     # Guards against farewells forgotten because the store answered late.
     seating.announce(0, WALL, 'i-1', 1, LIVING)
--- a/hillfield/node/adapterparts.py
+++ b/hillfield/node/adapterparts.py
@@ -38,9 +38,9 @@
 
     `callers` and `hops` are the settings of the two servers, `checks` detect
     wrong answers of the target. `repeats` bounds the repeats of each service over
-    all nodes. `reports`, `quotas` and `crashes` are the
-    addresses for datagrams with load reports, usage of accounts and findings
-    on crashing requests (the same ports on all hosts). `stop` is the schedule
+    all nodes. `reports`, `quotas`, `crashes` and `departures` are the
+    addresses for datagrams with load reports, usage of accounts, findings on
+    crashing requests and departures of targets (the same ports on all hosts). `stop` is the schedule
     that the limits of the two servers follow. `relay` sets how the
     store is watched, `make_listeners` builds further listeners.
     """
@@ -53,6 +53,7 @@
     reports: Address
     quotas: Address
     crashes: Address
+    departures: Address
     checks: AnswerChecks
     stop: StopSchedule
     relay: FeedSettings
--- a/hillfield/node/departures.py
+++ b/hillfield/node/departures.py
@@ -1,14 +1,17 @@
 """Persistence of the departures of the host's targets."""
 
 from asyncio import Task, create_task, wait
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from expression import Result
-from msgspec import MsgspecError, Struct
+from msgspec import MsgspecError
 from msgspec.msgpack import decode, encode
 
 from hillfield.clocks import monotonic
+from hillfield.departures import DEPARTURE_SECONDS, Departure
 from hillfield.events import EventCode, Journal, Occurrence
+from hillfield.fleet.core import Core
 from hillfield.gate import IncarnationTracker
 from hillfield.store.ports import (
     Accepted,
@@ -20,9 +23,6 @@
 )
 from hillfield.timers import get_shared_timer
 
-# Seconds for which a departure is kept: longer than a target goes on serving
-# after it, or than a heartbeat of it takes to arrive.
-LEASE_SECONDS: Final = 600
 # Seconds for which the acknowledgement of a departure waits for the store: a
 # target takes an answer that comes later than 1 s for none.
 ACKNOWLEDGEMENT_SECONDS: Final = 0.8
@@ -32,13 +32,12 @@
 RETRY_INTERVAL: Final = 0.2
 MAXIMUM_BACKOFF: Final = 8.0
 BACKOFF_PART: Final = 0.25
+# Seconds between readings while the store answers other nodes.
+ANSWERING_INTERVAL: Final = 1.0
 
 
-class Departure(Struct, frozen=True, array_like=True):
-    """Hold that a target leaves; `born` is its start in milliseconds."""
-
-    name: str
-    born: int
+# Called with all departures of this host before one is acknowledged.
+DepartureListener = Callable[[Mapping[str, int]], None]
 
 
 class DepartureStorage:
@@ -47,18 +46,22 @@
     They are written, under one key a host, before they are acknowledged, and
     read when the node starts: an acknowledgement binds also the next node on
     the host, and all nodes may end at the same moment. A departure costs two
-    calls to the store, the start of a node one.
+    calls to the store, the start of a node one. `on_departure` tells other
+    nodes, which the next node on the host asks if the store does not answer.
     """
 
     def __init__(
         self,
-        key: str,
+        prefix: str,
+        host: str,
         store: Store,
         tracker: IncarnationTracker,
         journal: Journal,
     ) -> None:
         """Prepare; `run` reads what the node before has written."""
-        self._key = key
+        self.on_departure: DepartureListener = _ignore_departures
+        self._prefix = prefix
+        self._key = f'{prefix}{host}'
         self._store = store
         self.tracker = tracker
         self._journal = journal
@@ -66,19 +69,19 @@
         self._stored: dict[str, int] = {}
         self._writing: Task[None] | None = None
 
-    async def run(self) -> None:
+    async def run(self, core: Core) -> None:
         """Read the departures; repeat until the store answers.
 
         What the node before has stored ends with its lease.
         """
         began = monotonic()
-        elapsed = float()
-        while elapsed < LEASE_SECONDS and not await self._read():
-            elapsed = monotonic() - began
-            wait_seconds = max(RETRY_INTERVAL, BACKOFF_PART * elapsed)
-            await get_shared_timer().sleep_for(
-                min(wait_seconds, MAXIMUM_BACKOFF),
-            )
+        ends = began + DEPARTURE_SECONDS
+        tried_at = began
+        while tried_at < ends and not await self._read():
+            due = monotonic() + _compute_backoff(monotonic() - began)
+            while monotonic() < due and not _is_answering(core, tried_at):
+                await get_shared_timer().sleep_for(RETRY_INTERVAL)
+            tried_at = monotonic()
 
     async def keep(self, name: str) -> bool:
         """Return whether the store has the departure of a target, if it leaves.
@@ -87,6 +90,7 @@
         """
         if name not in self.tracker.departures.starts:
             return True
+        self.on_departure(self.tracker.departures.starts)
         end = monotonic() + ACKNOWLEDGEMENT_SECONDS
         while not self._is_kept() and monotonic() < end:
             if self._writing is None or self._writing.done():
@@ -94,6 +98,13 @@
             await wait((self._writing,), timeout=end - monotonic())
         return self._is_kept()
 
+    async def read_of(
+        self, host: str
+    ) -> Result[tuple[Departure, ...], StoreError]:
+        """Read the departures that the node of another host has written."""
+        read = await self._store.get(f'{self._prefix}{host}')
+        return read.map(self._decode)
+
     def _is_kept(self) -> bool:
         return self.tracker.departures.starts.items() <= self._stored.items()
 
@@ -113,7 +124,7 @@
             await get_shared_timer().sleep_for(RETRY_INTERVAL)
 
     async def _try_to_write(self) -> Result[None, StoreError]:
-        granted = await self._store.grant(LEASE_SECONDS)
+        granted = await self._store.grant(int(DEPARTURE_SECONDS))
         if granted.is_error():
             return granted.map(_ignore)
         departed = dict(self.tracker.departures.starts)
@@ -134,18 +145,19 @@
     def _adopt(self, stored: StoredValue | None) -> None:
         """Merge what the store holds into what this node knows."""
         self._revision = 0 if stored is None else stored.revision
-        self._stored = {} if stored is None else self._decode(stored)
+        self._stored = {row.name: row.born for row in self._decode(stored)}
         self.tracker.restore(monotonic(), self._stored)
         if self._stored:
             self._record(EventCode.DEPARTURES_RESTORED, ', '.join(self._stored))
 
-    def _decode(self, stored: StoredValue) -> dict[str, int]:
+    def _decode(self, stored: StoredValue | None) -> tuple[Departure, ...]:
+        if stored is None:
+            return ()
         try:
-            rows = decode(stored.payload, type=tuple[Departure, ...])
+            return decode(stored.payload, type=tuple[Departure, ...])
         except MsgspecError as malformed:
             self._record(EventCode.DEPARTURES_NOT_STORED, str(malformed))
-            return {}
-        return {row.name: row.born for row in rows}
+            return ()
 
     def _record_failure(self, error: StoreError) -> None:
         self._record(
@@ -156,5 +168,20 @@
         self._journal.record(Occurrence(code, detail=detail))
 
 
+def _compute_backoff(elapsed: float) -> float:
+    """Return the seconds between readings, so long after the first one."""
+    return min(max(RETRY_INTERVAL, BACKOFF_PART * elapsed), MAXIMUM_BACKOFF)
+
+
+def _is_answering(core: Core, tried_at: float) -> bool:
+    """Return whether the store has answered another node since then."""
+    long_ago = monotonic() - tried_at >= ANSWERING_INTERVAL
+    return long_ago and core.own.confirmed > tried_at
+
+
+def _ignore_departures(starts: Mapping[str, int]) -> None:
+    """Do nothing: no other node is told."""
+
+
 def _ignore(answer: object) -> None:
     """Return None: only whether there was an error matters."""
--- a/hillfield/node/exchanges.py
+++ b/hillfield/node/exchanges.py
@@ -8,6 +8,7 @@
 from hillfield.node.crashes import CrashTracker
 from hillfield.node.crashexchange import CrashExchange
 from hillfield.node.crashstore import CrashStorage
+from hillfield.node.departureexchange import DepartureExchange
 from hillfield.node.departures import DepartureStorage
 from hillfield.node.exits import ExitWatch
 from hillfield.node.parts import Parts
@@ -73,8 +74,27 @@
 ) -> DepartureStorage:
     """Return the persistence of the departures of this host's targets."""
     settings = parts.settings
-    key = f'/hillfield/{settings.cluster}/departures/{settings.name}'
-    return DepartureStorage(key, parts.store, tracker, parts.journal)
+    prefix = f'/hillfield/{settings.cluster}/departures/'
+    return DepartureStorage(
+        prefix, settings.name, parts.store, tracker, parts.journal
+    )
+
+
+def build_departure_exchange(
+    parts: Parts,
+    fittings: AdapterParts,
+    storage: DepartureStorage,
+) -> DepartureExchange:
+    """Return the exchange of departures with the other nodes."""
+    exchange = DepartureExchange(
+        fittings.departures,
+        parts.settings.cluster_key.encode(),
+        Random(),
+        storage,
+        parts.journal,
+    )
+    exchange.socket.counter = parts.metrics.record_datagrams
+    return exchange
 
 
 def build_exit_watch(
--- a/hillfield/node/gated.py
+++ b/hillfield/node/gated.py
@@ -25,6 +25,7 @@
 from hillfield.node.exchanges import (
     build_crash_exchange,
     build_crash_storage,
+    build_departure_exchange,
     build_departure_storage,
     build_exit_watch,
     build_load_reporting,
@@ -103,11 +104,15 @@
         self._reporting = build_load_reporting(parts, fittings, self.gate)
         self._quotas = build_quota_exchange(parts, fittings)
         self._departures = build_departure_storage(parts, self.seating)
+        self._departure_exchange = build_departure_exchange(
+            parts, fittings, self._departures
+        )
         self._listeners = (
             *fittings.make_listeners(self._departures, self.page),
             self._reporting,
             self._quotas,
             self.crashes,
+            self._departure_exchange,
         )
         self._gate_ticking: ScheduledCall | None = None
         self._hop_head_limit = fittings.hops.head_limit + HOP_HEAD_ROOM
@@ -156,9 +161,11 @@
         self,
         fleet: Fleet,
     ) -> tuple[Coroutine[None, None, None], ...]:
-        self._reporting.join(fleet.state.core)
-        self._quotas.join(fleet.state.core)
-        self.crashes.tracker.join(fleet.state.core)
+        core = fleet.state.core
+        self._reporting.join(core)
+        self._quotas.join(core)
+        self.crashes.tracker.join(core)
+        self._departure_exchange.join(core)
         self.page.crash_tracker = self.crashes.tracker
         relay = StoreWatcher(
             fleet,
@@ -168,7 +175,7 @@
             self.parts.journal,
         )
         memory = build_crash_storage(self.parts, self.crashes)
-        return relay.run(), memory.run(), self._departures.run()
+        return relay.run(), memory.run(), self._departures.run(core)
 
     async def _drain(self) -> None:
         # Other nodes watch the store from now on.
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -29,6 +29,7 @@
 REPORTS: Final = 3
 QUOTAS: Final = 4
 CRASHES: Final = 5
+DEPARTURES: Final = 6
 # All nodes of one platform are one cluster. Its network is the platform's
 # own, so the key only keeps stray messages out.
 CLUSTER: Final = 'platform'
@@ -109,6 +110,7 @@
     reports: Address
     quotas: Address
     crashes: Address
+    departures: Address
     grace: float
     repeats: RepeatBound
     floor: float
@@ -132,15 +134,17 @@
 
 
 def _make_boot(wire: BootFile) -> Boot:
+    first = wire.internal_ports[0]
     return Boot(
         settings=_make_settings(wire),
         service=wire.service,
         ready=_read_address('listen.ready', wire.listen.ready),
         heartbeats=_read_address('listen.control', wire.listen.control),
-        hops=Address(wire.ip, wire.internal_ports[0] + HOPS),
-        reports=Address(wire.ip, wire.internal_ports[0] + REPORTS),
-        quotas=Address(wire.ip, wire.internal_ports[0] + QUOTAS),
-        crashes=Address(wire.ip, wire.internal_ports[0] + CRASHES),
+        hops=Address(wire.ip, first + HOPS),
+        reports=Address(wire.ip, first + REPORTS),
+        quotas=Address(wire.ip, first + QUOTAS),
+        crashes=Address(wire.ip, first + CRASHES),
+        departures=Address(wire.ip, first + DEPARTURES),
         grace=wire.bound('graceS', GRACE),
         repeats=RepeatBound(
             wire.bound('retryBudgetRatio', UNBOUNDED.ratio),
--- a/hillfield/platform/fittings.py
+++ b/hillfield/platform/fittings.py
@@ -100,6 +100,7 @@
             reports=self._boot.reports,
             quotas=self._boot.quotas,
             crashes=self._boot.crashes,
+            departures=self._boot.departures,
             checks=SIGNED,
             stop=self._stop,
             relay=FeedSettings(
--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -138,6 +138,8 @@
             self.folder / f'{number}.json',
             self._make_target(Address(ip, base + 7), service, f'i-{number}'),
         )
+        # Each host calls the store at an address of its own.
+        self._server.listen(self.store_address.port, ip)
         host.path.write_bytes(self._write_boot(host, number))
         self.hosts.append(host)
         host.target.start()
@@ -238,6 +240,7 @@
 
     def _write_boot(self, host, number):
         base = self._base
+        store = Address(host.ip, self.store_address.port)
         return encode(
             {
                 'node': host.name,
@@ -254,7 +257,7 @@
                 'bounds': ['graceS=6', 'retryBudgetRatio=0.2'],
                 'service': host.target.service,
                 'appAddr': str(host.target.address),
-                'platform': {'address': str(self.store_address)},
+                'platform': {'address': str(store)},
                 'unknownField': 1,
             },
         )
--- a/hillfield/platform/tests/standin_store.py
+++ b/hillfield/platform/tests/standin_store.py
@@ -22,7 +22,8 @@
 
     `down`: calls get 503; `lossy`: writes are done and their answer is lost;
     `deaf`: nothing is answered; `muted`: watches hear of no change, and go
-    on from after it; `silent`: connections on which nothing comes any more.
+    on from after it; `silent`: connections on which nothing comes any more;
+    `turned_away`: by the address that a host calls, `busy` (503) or `silent`.
     """
 
     revision: int = 0
@@ -38,6 +39,7 @@
     muted: bool = False
     opened: set[int] = field(default_factory=set)
     silent: set[int] = field(default_factory=set)
+    turned_away: dict[str, str] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, key, payload, lease=0):
@@ -88,9 +90,11 @@
     async def prepare(self):
         self.state.calls.append(self.request.path)
         self.state.opened.add(self._connection)
-        if self.state.deaf or self._connection in self.state.silent:
+        mode = self._find_mode()
+        is_deaf = self.state.deaf or mode == 'silent'
+        if is_deaf or self._connection in self.state.silent:
             await asyncio.sleep(3600)
-        if self.state.down:
+        if self.state.down or mode == 'busy':
             self.set_status(503)
             self.finish()
 
@@ -118,6 +122,13 @@
         self._keep(lease)
         self.state.alive.discard(lease)
 
+    def _find_mode(self):
+        """Return how the host is treated that calls here."""
+        called = find_stream(self.request).socket
+        if called is None or not self.state.turned_away:
+            return ''
+        return self.state.turned_away.get(called.getsockname()[0], '')
+
     @property
     def _connection(self):
         return id(find_stream(self.request))
--- a/hillfield/platform/tests/standin_target.py
+++ b/hillfield/platform/tests/standin_target.py
@@ -45,9 +45,12 @@
     (answers the request before once more first), `loose` (no length), `cut`
     (ends amid the body), `endless` (a long body that does not end). It says
     `notice` of itself in all its answers, and notes in `arrivals` the moments
-    ids and ports of all requests that reach it.
+    ids and ports of all requests that reach it. Its heartbeats tell when it
+    was `born`, unless that is None.
     """
 
+    born: int | None = None
+
     def __init__(self, address, service, name, seconds=0.005):
         self.address = address
         self.service = service
@@ -86,7 +89,7 @@
     async def announce(self, control, state='ready', sequence=None):
         """Send a heartbeat; return the status of the answer."""
         self.sequence += 1
-        message = {
+        message: dict[str, Any] = {
             'address': str(self.address),
             'info': {
                 'service': self.service,
@@ -100,6 +103,8 @@
                 'warmupLeftS': 0,
             },
         }
+        if self.born is not None:
+            message['born'] = self.born
         return await self._call(control, 'PUT', encode(message))
 
     async def leave(self, control):
