Say in the log that an answer was dropped which names another request

Cause: an answer that comes for an earlier request of its connection was skipped in silence, so the log could not tell a late second answer that was recognized from one that was taken for the awaited one.

Change: an event with the awaited request and the one that is named; the log's limit of lines per second bounds it.

--- a/hillfield/events/codes.py
+++ b/hillfield/events/codes.py
@@ -71,6 +71,7 @@
     TARGET_NOTICE_UNREAD = 3541
     TARGET_SAYS_LEAVING = 3542
     TARGET_LIMIT_KEPT = 3543
+    STRAY_ANSWER_DROPPED = 3544
     NEIGHBOUR_HEARD = 4001
     NEIGHBOUR_SILENT = 4002
     MEMBER_JOINED = 4003
@@ -183,6 +184,7 @@
         EventCode.TARGET_NOTICE_UNREAD: 'warning',
         EventCode.TARGET_SAYS_LEAVING: 'info',
         EventCode.TARGET_LIMIT_KEPT: 'info',
+        EventCode.STRAY_ANSWER_DROPPED: 'info',
         EventCode.NEIGHBOUR_HEARD: 'info',
         EventCode.NEIGHBOUR_SILENT: 'warning',
         EventCode.MEMBER_JOINED: 'info',
--- a/hillfield/proxy/attempts.py
+++ b/hillfield/proxy/attempts.py
@@ -19,7 +19,11 @@
 from hillfield.proxy.notices import read_keep_alive
 from hillfield.proxy.plannedrequests import PlannedRequest
 from hillfield.proxy.replies import Reply
-from hillfield.proxy.resources import AttemptResources, record_answer_head
+from hillfield.proxy.resources import (
+    AttemptResources,
+    record_answer_head,
+    record_stray_answer,
+)
 from hillfield.proxy.targetconnections import read_answer
 from hillfield.routing.requests import ConnectFailed, Observation, Send
 
@@ -97,6 +101,9 @@
             record_answer_head(self._resources, self.send, headers)
             if not self.answer.has_length():
                 self._hold(expired=False)
+        elif self.answer.stale:
+            request = self._planned.forwarding.request
+            record_stray_answer(self._resources, self.send, request, headers)
         elif start_line.code == HTTPStatus.CONTINUE:
             self.send_rest()
 
--- a/hillfield/proxy/running.py
+++ b/hillfield/proxy/running.py
@@ -66,6 +66,7 @@
             context.pool,
             context.settings,
             dispatching,
+            context.journal,
         )
         self._tasks: set[Task[None]] = set()
 
