Never send a request twice over one connection to a target

What callers saw: a capture was answered 503, "has not run", and had run; now and then it ran at a second target too.

Cause: an answer is matched by the id that it names. A target that is full refuses a request; it is sent there again, under the same id and, since the connection had gone back to the pool, over the same connection. A second copy of the refusal then names the awaited request and is taken for its answer, while the target runs it. An id that has been written to a connection twice identifies nothing there.

Change: a connection remembers the ids that it has carried until their requests expire, and the pool passes it over for them; another idle one is used or one is opened. This holds for each attempt of the request path: after refusals and after failures, at the gate and between nodes, for calls and streams. Weighed: to close a connection after each refusal.

--- a/hillfield/platform/tests/standin_target.py
+++ b/hillfield/platform/tests/standin_target.py
@@ -50,6 +50,7 @@
     """
 
     born: int | None = None
+    answering: Any = None
 
     def __init__(self, address, service, name, seconds=0.005):
         self.address = address
@@ -69,7 +70,7 @@
 
     def renew(self):
         """Make a server that has not been stopped yet."""
-        paths = [('/.*', TargetHandler, {'target': self})]
+        paths = [('/.*', self.answering, {'target': self})]
         self._server = HTTPServer(
             Application(paths, log_function=lambda _: None),
         )
@@ -81,6 +82,12 @@
         self._server.stop()
         await self._server.close_all_connections()
 
+    def note_arrival(self, request):
+        """Note that a request has reached the target."""
+        name = request.headers.get('X-Request-Id', '')
+        port = find_stream(request).socket.getpeername()[1]
+        self.arrivals.append(Reached(monotonic(), name, port))
+
     def note_run(self, run):
         """Begin to run a request; return the seconds that it takes."""
         self.runs.append(run)
@@ -130,14 +137,7 @@
     async def prepare(self):
         headers = self.request.headers
         target = self.target
-        stream = find_stream(self.request)
-        target.arrivals.append(
-            Reached(
-                monotonic(),
-                headers.get('X-Request-Id', ''),
-                stream.socket.getpeername()[1],
-            ),
-        )
+        target.note_arrival(self.request)
         is_meant = headers.get('X-Target-Instance', target.name) == target.name
         is_free = target.mood != 'full' and 'X-Request-Id' in headers
         if is_meant and is_free:
@@ -221,6 +221,9 @@
         self.finish(f'{target.name} ran {headers["X-Request-Id"]}')
 
 
+StandInTarget.answering = TargetHandler
+
+
 def find_stream(request: Any) -> Any:
     """Return the stream of a request's connection."""
     return request.connection.stream
--- a/hillfield/proxy/attempts.py
+++ b/hillfield/proxy/attempts.py
@@ -71,7 +71,8 @@
 
     def begin(self) -> None:
         """Send immediately if a connection is idle; else `run` connects."""
-        stream = self._resources.pool.reuse(self.send.target)
+        request = self._planned.forwarding.request
+        stream = self._resources.pool.reuse(self.send.target, request)
         if stream is not None:
             self.write_to(stream)
 
--- a/hillfield/proxy/handover.py
+++ b/hillfield/proxy/handover.py
@@ -65,6 +65,9 @@
             self.end(NothingWritten('connection closed before use'))
             return
         settings = self._resources.settings
+        planned = self._planned
+        request = planned.forwarding.request
+        stream.carried.add(monotonic(), request, planned.expires)
         self._stream = stream
         self._sender = Sender(
             self._planned,
--- a/hillfield/proxy/pool.py
+++ b/hillfield/proxy/pool.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 from tornado.iostream import StreamClosedError
 
+from hillfield.clocks import monotonic
 from hillfield.model import Address, TargetId
 from hillfield.proxy.settings import ProxySettings
 from hillfield.proxy.streams import NoDelayStream
@@ -92,17 +93,31 @@
         for target in tuple(self._idle):
             self.retire(target)
 
-    def reuse(self, target: TargetId) -> NoDelayStream | None:
-        """Return an idle connection that is open and clean, if there is one."""
+    def reuse(
+        self,
+        target: TargetId,
+        request: str = '',
+    ) -> NoDelayStream | None:
+        """Return an idle connection that is open and clean, if there is one.
+
+        It has not carried this request before: a second copy of the earlier
+        answer could not be told from the answer to this attempt.
+        """
         self._retired.pop(target, None)
-        connections = self._idle.get(target)
-        now = get_running_loop().time()
-        while connections:
+        connections = self._idle.get(target, deque())
+        passed_over: list[IdleConnection] = []
+        found: NoDelayStream | None = None
+        while connections and found is None:
             idle = connections.pop()
-            if now < idle.until and _is_clean(idle.stream):
-                return idle.stream
-            idle.stream.close()
-        return None
+            if not _is_usable(idle):
+                idle.stream.close()
+                continue
+            if idle.stream.carried.holds(monotonic(), request):
+                passed_over.append(idle)
+            else:
+                found = idle.stream
+        connections.extend(reversed(passed_over))
+        return found
 
     async def connect(self, address: Address) -> Result[NoDelayStream, str]:
         """Open a connection; the error says why it failed.
@@ -162,6 +177,10 @@
         return connected.result()
 
 
+def _is_usable(idle: IdleConnection) -> bool:
+    return get_running_loop().time() < idle.until and _is_clean(idle.stream)
+
+
 def _is_clean(stream: NoDelayStream) -> bool:
     """Return whether the connection is open without unexpected bytes."""
     if stream.closed() or stream.unread:
--- a/hillfield/proxy/streams.py
+++ b/hillfield/proxy/streams.py
@@ -15,6 +15,7 @@
 
 from hillfield.clocks import monotonic
 from hillfield.model import RequestFailure
+from hillfield.proxy.carriedids import CarriedIds
 from hillfield.proxy.failures import Fault
 from hillfield.proxy.intake import Intake
 from hillfield.proxy.screening import screen_head
@@ -44,6 +45,7 @@
         self.settings = settings
         # Loop seconds at which its last exchange ended without an error.
         self.proven_at = float('-inf')
+        self.carried = CarriedIds()
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def set_nodelay(self, value: bool) -> None:  # noqa: WPS110 tornado's name
