Let as many answers as exits clear a crashing request, not a single one

What callers saw, in the model: of a request that crashes 29 of 30 targets, each answer of the thirtieth made all nodes forget the exits.

Cause: the same class as a caller that clears another's request: one good answer undid the evidence of the whole fleet. It speaks for the target that gave it (a newer release, an answer at hand), not for the others.

Change: nodes report answers to a request under which targets have exited, as they report exits, and those of the last 5 s once it is proven; a request is refused 0.1 s after the proof, so that these arrive. Answers that have outweighed exits are used up. Findings have one more field at their end, which earlier nodes ignore.

The new test of targets that bear a request fails where any answer clears.

--- a/hillfield/crashes/__init__.py
+++ b/hillfield/crashes/__init__.py
@@ -7,6 +7,7 @@
     RequestIdentity,
 )
 from hillfield.crashes.messages import (
+    AnswerRow,
     ClearRow,
     Comparison,
     CrashCodec,
@@ -22,6 +23,7 @@
 from hillfield.crashes.served import ServedRequests
 
 __all__ = (
+    'AnswerRow',
     'ComparisonTimer',
     'ClearRow',
     'Comparison',
--- a/hillfield/crashes/cases.py
+++ b/hillfield/crashes/cases.py
@@ -5,12 +5,21 @@
 
 from xxhash import xxh3_64_intdigest
 
-from hillfield.crashes.messages import ClearRow, ExitRow
-from hillfield.crashes.proof import SeenExit, compute_refusal_time, is_harmful
+from hillfield.crashes.messages import AnswerRow, ExitRow
+from hillfield.crashes.proof import (
+    SeenExit,
+    compute_refusal_time,
+    count_in_sequence,
+    is_harmful,
+    is_outweighed,
+)
 
 # Seed of the digest of a harmful request.
 HARMFUL_SEED: Final = 1
 NEVER: Final = float('-inf')
+# Seconds after the exit that proves a request harmful in which all nodes hear of
+# it, and of how often others answered the request lately.
+ANSWERS_DELAY: Final = 0.1
 # Exits kept of one request: further exits at one moment are no new evidence.
 MAXIMUM_EXITS: Final = 16
 
@@ -20,14 +29,16 @@
     """Hold the exits during a request; times are monotonic seconds.
 
     `exits` are keyed by the node that saw each and its number there; `harmful`
-    says that they are sufficient evidence; exits until `cleared_at` are no
-    evidence; `last_trial` is when this node last let the request run as a
+    says that they are sufficient evidence, since the exit at `proven_at`; `answers` are when targets answered
+    it and kept running, keyed alike; exits until `cleared_at` are no evidence; `last_trial` is when this node last let the request run as a
     trial; `stored` says that the store is known to reflect `harmful`.
     """
 
     fingerprint: bytes
     exits: dict[tuple[str, int], SeenExit] = field(default_factory=dict)
+    answers: dict[tuple[str, int], float] = field(default_factory=dict)
     harmful: bool = False
+    proven_at: float = NEVER
     cleared_at: float = NEVER
     last_trial: float = NEVER
     stored: bool = True
@@ -51,20 +62,35 @@
         self.exits[name] = SeenExit(ended - row.lasted, ended)
         if not self.harmful:
             self._update_harmful()
+            self.proven_at = self.last_event
+
+    def add_answer(self, now: float, row: AnswerRow) -> None:
+        """Add an answer, unless it is known; the oldest ones go."""
+        name = (row.gate, row.number)
+        if name in self.answers:
+            return
+        self._digest = None
+        self.answers[name] = now - row.ago
+        if len(self.answers) > MAXIMUM_EXITS:
+            self.answers.pop(min(self.answers, key=self.answers.__getitem__))
+
+    def is_outweighed(self) -> bool:
+        """Return whether the answers show the request to be harmless."""
+        return is_outweighed(self.exits.values(), self.answers.values())
 
     def clear(self, moment: float) -> bool:
         """Drop the exits until a moment; return whether there were any."""
         self._digest = None
         self.cleared_at = max(self.cleared_at, moment)
-        dropped = list(filter(self._is_cleared, self.exits))
-        for name in dropped:
-            self.exits.pop(name)
+        names = list(filter(self._is_cleared, self.exits))
+        dropped = [self.exits.pop(name) for name in names]
+        self._use_answers(count_in_sequence(dropped))
         self._update_harmful()
         return bool(dropped)
 
     def is_refused(self, now: float) -> bool:
         """Return whether the request is refused by all nodes."""
-        if not self.harmful:
+        if not self.harmful or now < self.proven_at + ANSWERS_DELAY:
             return False
         return self.compute_wait(now) > 0
 
@@ -80,24 +106,18 @@
         self.last_trial = now
         return True
 
-    def list_exits(self, now: float) -> tuple[ExitRow, ...]:
-        """Return the exits as rows for other nodes."""
-        return tuple(
-            self._make_row(now, gate, number) for gate, number in self.exits
-        )
-
-    def list_clears(self, now: float) -> tuple[ClearRow, ...]:
-        """Return as a row that the request was found harmless, if it was."""
-        if self.cleared_at == NEVER:
-            return ()
-        return (ClearRow(self.fingerprint, now - self.cleared_at),)
-
     def compute_digest(self) -> int:
         """Return a digest that is equal at nodes that decide alike."""
         if self._digest is None:
             self._digest = _compute_digest(self)
         return self._digest
 
+    def _use_answers(self, count: int) -> None:
+        """Drop the oldest answers, which have outweighed as many exits."""
+        oldest = sorted(self.answers, key=self.answers.__getitem__)
+        for name in oldest[:count]:
+            self.answers.pop(name)
+
     def _update_harmful(self) -> None:
         harmful = is_harmful(self.exits.values())
         if harmful is not self.harmful:
@@ -107,16 +127,11 @@
     def _is_cleared(self, name: tuple[str, int]) -> bool:
         return self.exits[name].ended <= self.cleared_at
 
-    def _make_row(self, now: float, gate: str, number: int) -> ExitRow:
-        seen_exit = self.exits[gate, number]
-        ago = now - seen_exit.ended
-        lasted = seen_exit.ended - seen_exit.began
-        return ExitRow(self.fingerprint, gate, number, ago, lasted)
-
 
 def _compute_digest(case: Case) -> int:
     if case.harmful:
         return xxh3_64_intdigest(case.fingerprint, HARMFUL_SEED)
-    names = sorted(f'{gate}/{number}' for gate, number in case.exits)
+    seen = (*case.exits, *case.answers)
+    names = sorted(f'{gate}/{number}' for gate, number in seen)
     text = ' '.join((case.fingerprint.hex(), *names))
     return xxh3_64_intdigest(text.encode())
--- a/hillfield/crashes/messages.py
+++ b/hillfield/crashes/messages.py
@@ -23,19 +23,33 @@
 class ClearRow(Struct, frozen=True, array_like=True):
     """Report that a request is harmless.
 
-    A target answered it and kept running, or an operator said so. Exits `ago`
-    seconds since or earlier are no evidence against it.
+    Targets answered it as often as they exited, or an operator said so. Exits
+    `ago` seconds since or earlier are no evidence against it.
     """
 
     fingerprint: bytes
     ago: float
 
 
+class AnswerRow(Struct, frozen=True, array_like=True):
+    """Report that a target answered a request and kept running.
+
+    `gate` is the node beside it, `number` distinguishes its answers, and `ago`
+    is the seconds since then, by the sender's clock.
+    """
+
+    fingerprint: bytes
+    gate: str
+    number: int
+    ago: float
+
+
 class Findings(Struct, frozen=True, array_like=True, tag='f'):
     """Hold what one node has observed or received."""
 
     exits: tuple[ExitRow, ...] = ()
     clears: tuple[ClearRow, ...] = ()
+    answers: tuple[AnswerRow, ...] = ()
 
 
 class Inquiry(Struct, frozen=True, array_like=True, tag='i'):
--- a/hillfield/crashes/proof.py
+++ b/hillfield/crashes/proof.py
@@ -7,7 +7,7 @@
 each time; refusing a harmless request costs its callers an answer.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from msgspec import Struct
@@ -20,6 +20,14 @@
 # before. A loss of power of a failure domain makes many targets exit during a
 # common request at one moment, which counts as one.
 SEQUENCE_REQUIRED: Final = 2
+# Answers that outweigh an exit.
+ANSWERS_PER_EXIT: Final = 1
+# Seconds before the last exit for which an answer is evidence that a request is
+# harmless. Common requests are answered somewhere more often than this, so none
+# that runs on many targets when a failure domain loses power is refused for
+# long. A release that no longer handles a request has it refused this much
+# later.
+ANSWER_MEMORY_SECONDS: Final = 5.0
 # Seconds by which times reported by other nodes may be off: the delay of a
 # datagram and of a busy node that reads it.
 CLOCK_TOLERANCE_SECONDS: Final = 0.02
@@ -48,17 +56,42 @@
     >>> is_harmful([SeenExit(0, 5), SeenExit(1, 5), SeenExit(2, 5)])
     False
     """
-    ordered = sorted(exits, key=_read_ended)
-    if len(ordered) < EXITS_REQUIRED:
+    known = tuple(exits)
+    if len(known) < EXITS_REQUIRED:
         return False
-    return count_in_sequence(ordered) >= SEQUENCE_REQUIRED
+    return count_in_sequence(known) >= SEQUENCE_REQUIRED
 
 
-def count_in_sequence(ordered: Iterable[SeenExit]) -> int:
+def is_outweighed(
+    exits: Collection[SeenExit],
+    answers: Iterable[float],
+) -> bool:
+    """Return whether answers show that a request does not cause the exits.
+
+    `answers` are moments at which targets answered it and kept running. One of
+    them speaks for the target that gave it: a newer release, or one that had
+    the answer at hand. Of a request that most targets bear, recent answers are
+    at least as many as the exits that it was only beside.
+
+    >>> first, second = SeenExit(0, 1), SeenExit(2, 3)
+    >>> is_outweighed([first, second], [2.5]), is_outweighed([first], [2.5])
+    (False, True)
+    >>> is_outweighed([], [2.5])
+    False
+    """
+    if not exits:
+        return False
+    last_exit = max(seen_exit.ended for seen_exit in exits)
+    since = last_exit - ANSWER_MEMORY_SECONDS
+    recent = sum(answered >= since for answered in answers)
+    return recent >= count_in_sequence(exits) * ANSWERS_PER_EXIT
+
+
+def count_in_sequence(exits: Iterable[SeenExit]) -> int:
     """Return the largest number of exits in sequence."""
     count = 0
     last_ended = float('-inf')
-    for seen_exit in ordered:
+    for seen_exit in sorted(exits, key=_read_ended):
         if seen_exit.began >= last_ended - CLOCK_TOLERANCE_SECONDS:
             count += 1
             last_ended = seen_exit.ended
--- a/hillfield/crashes/registry.py
+++ b/hillfield/crashes/registry.py
@@ -9,7 +9,13 @@
 from typing import Final
 
 from hillfield.crashes.cases import Case
-from hillfield.crashes.messages import ClearRow, ExitRow, Findings
+from hillfield.crashes.messages import (
+    AnswerRow,
+    ClearRow,
+    ExitRow,
+    Findings,
+)
+from hillfield.crashes.rows import list_findings
 
 # Requests tracked at once, some 670 bytes each. The exit of a target with four
 # slots adds four of them, of which three are harmless.
@@ -23,6 +29,8 @@
 # Digests are added up in 64 bits.
 DIGEST_MODULUS: Final = 1 << 8 * 8
 
+Row = ExitRow | ClearRow | AnswerRow
+
 
 class CrashRegistry:
     """Track requests by their fingerprints; times are monotonic seconds.
@@ -51,6 +59,11 @@
         before = _list_harmful(self, findings.exits)
         for clear in findings.clears:
             self._get_case(clear.fingerprint).clear(now - clear.ago)
+        for answer in findings.answers:
+            # Answers count only for requests under which targets have exited.
+            case = self.cases.get(answer.fingerprint)
+            if case is not None:
+                case.add_answer(now, answer)
         for row in findings.exits:
             self._get_case(row.fingerprint).add_exit(now, row)
         if now >= self._next_sweep or len(self.cases) > MAXIMUM_CASES:
@@ -87,10 +100,7 @@
             for fingerprint, case in self.cases.items()
             if find_partition(fingerprint) in partitions
         ]
-        return Findings(
-            tuple(row for case in cases for row in case.list_exits(now)),
-            tuple(row for case in cases for row in case.list_clears(now)),
-        )
+        return list_findings(now, cases)
 
     def list_digests(self) -> tuple[int, ...]:
         """Return the digest of each partition."""
@@ -131,6 +141,17 @@
                 self.cases.pop(excess_case.fingerprint)
 
 
+def is_outweighed(registry: CrashRegistry, fingerprint: bytes) -> bool:
+    """Return whether answers show that a request is harmless."""
+    case = registry.cases.get(fingerprint)
+    return case is not None and case.is_outweighed()
+
+
+def list_answered(findings: Findings) -> frozenset[bytes]:
+    """Return the requests of which answers are reported."""
+    return frozenset(row.fingerprint for row in findings.answers)
+
+
 def _list_harmful(
     registry: CrashRegistry,
     rows: tuple[ExitRow, ...],
@@ -150,16 +171,21 @@
     limit: int,
 ) -> Iterator[Findings]:
     """Yield the findings in parts of at most `limit` rows."""
-    rows: tuple[ExitRow | ClearRow, ...] = (*findings.exits, *findings.clears)
+    rows: tuple[Row, ...] = (
+        *findings.exits,
+        *findings.clears,
+        *findings.answers,
+    )
     for start in range(0, len(rows), limit):
         yield _gather(rows[start : start + limit])
 
 
-def _gather(rows: Iterable[ExitRow | ClearRow]) -> Findings:
+def _gather(rows: Iterable[Row]) -> Findings:
     chosen = tuple(rows)
     return Findings(
         tuple(row for row in chosen if isinstance(row, ExitRow)),
         tuple(row for row in chosen if isinstance(row, ClearRow)),
+        tuple(row for row in chosen if isinstance(row, AnswerRow)),
     )
 
 
--- a/hillfield/crashes/served.py
+++ b/hillfield/crashes/served.py
@@ -1,16 +1,15 @@
 """Remember which requests a target has answered recently; pure."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from typing import Final
 
-# Seconds for which an answer is evidence that a request is harmless. Common
-# requests are answered somewhere more often than this, so none that runs on
-# many targets when a failure domain loses power is refused for long. A release
-# that no longer handles a request has it refused this much later.
-MEMORY_SECONDS: Final = 5.0
+from hillfield.crashes.proof import ANSWER_MEMORY_SECONDS
+
 # Requests remembered, the latest ones: what a target of four slots answers in
 # this time, at 20 milliseconds each.
 MAXIMUM_REQUESTS: Final = 1024
+# Answers remembered of one request: as many as exits are kept of it.
+MAXIMUM_ANSWERS: Final = 16
 
 
 class ServedRequests:
@@ -18,22 +17,30 @@
 
     >>> served = ServedRequests()
     >>> served.record(10.0, b'x')
-    >>> served.was_answered(14.0, b'x'), served.was_answered(16.0, b'x')
-    (True, False)
+    >>> served.list_answers(14.0, b'x'), served.list_answers(16.0, b'x')
+    ((10.0,), ())
     """
 
     def __init__(self) -> None:
         """Start without requests."""
-        self._moments: OrderedDict[bytes, float] = OrderedDict()
+        self._moments: OrderedDict[bytes, deque[float]] = OrderedDict()
 
     def record(self, now: float, fingerprint: bytes) -> None:
         """Record a good answer; `now` is in monotonic seconds."""
-        self._moments[fingerprint] = now
+        moments = self._moments.get(fingerprint)
+        if moments is None:
+            moments = deque(maxlen=MAXIMUM_ANSWERS)
+            self._moments[fingerprint] = moments
+        moments.append(now)
         self._moments.move_to_end(fingerprint)
         if len(self._moments) > MAXIMUM_REQUESTS:
             self._moments.popitem(last=False)
 
-    def was_answered(self, now: float, fingerprint: bytes) -> bool:
-        """Return whether a request was answered recently."""
-        moment = self._moments.get(fingerprint)
-        return moment is not None and now - moment <= MEMORY_SECONDS
+    def list_answers(self, now: float, fingerprint: bytes) -> tuple[float, ...]:
+        """Return the moments at which a request was answered recently."""
+        moments = self._moments.get(fingerprint, ())
+        return tuple(
+            moment
+            for moment in moments
+            if now - moment <= ANSWER_MEMORY_SECONDS
+        )
--- a/hillfield/crashes/tests/fleet.py
+++ b/hillfield/crashes/tests/fleet.py
@@ -8,7 +8,13 @@
 from msgspec.structs import replace
 
 from hillfield.crashes import CrashRegistry, LostRuns, Run, ServedRequests
-from hillfield.crashes.messages import ClearRow, ExitRow, Findings
+from hillfield.crashes.messages import (
+    AnswerRow,
+    ClearRow,
+    ExitRow,
+    Findings,
+)
+from hillfield.crashes.registry import is_outweighed, list_answered
 from hillfield.model import Address, TargetId
 
 STEP = 0.01
@@ -37,7 +43,7 @@
 
 @dataclass
 class Host:
-    """Hold a node, and its target while that runs."""
+    """Hold a node, and its target while that runs; or it `bears` all requests."""
 
     name: str
     domain: int
@@ -48,6 +54,7 @@
     running: list[Request] = field(default_factory=list)
     restarts_at: float = 0
     incarnation: int = 0
+    bears: bool = False
 
     @property
     def target(self):
@@ -138,19 +145,35 @@
     def _work(self):
         for host in self.hosts:
             done = [each for each in host.running if each.ends <= self.now]
-            if any(each.deadly for each in done):
+            if any(self._is_deadly(host, each) for each in done):
                 self._exit(host, 3 + self.random.random())
                 continue
             for request in done:
                 host.running.remove(request)
                 self._serve(host, request)
 
+    def _is_deadly(self, host, request):
+        return request.deadly and not host.bears
+
     def _serve(self, host, request):
         self.served[request.name] += 1
         host.served.record(self.now, request.name)
         case = host.registry.cases.get(request.name)
         if case is not None and case.exits:
-            self._clear(host, request.name)
+            self._report_answers(host, request.name, (self.now,))
+
+    def _report_answers(self, host, name, moments):
+        rows = tuple(
+            AnswerRow(name, host.name, int(each * 1000), self.now - each)
+            for each in moments
+        )
+        findings = Findings(answers=rows)
+        host.registry.merge(self.now, findings)
+        if rows:
+            self._send_findings(host, findings, self.now)
+            self._send_findings(host, findings, self.now + 0.3, self.now)
+        if is_outweighed(host.registry, name):
+            self._clear(host, name)
 
     def _clear(self, host, name):
         host.registry.clear(self.now, name)
@@ -215,12 +238,18 @@
             passed = self.now - since
             rows = tuple(replace(row, ago=passed) for row in findings.exits)
             clears = tuple(replace(row, ago=passed) for row in findings.clears)
-            self._take(host, Findings(rows, clears))
+            answers = tuple(
+                replace(row, ago=row.ago + passed) for row in findings.answers
+            )
+            self._take(host, Findings(rows, clears, answers))
 
     def _take(self, host, findings):
         for name in host.registry.merge(self.now, findings):
-            if host.served.was_answered(self.now, name):
-                self._clear(host, name)
+            moments = host.served.list_answers(self.now, name)
+            self._report_answers(host, name, moments)
+        for answered in list_answered(findings):
+            if is_outweighed(host.registry, answered):
+                host.registry.clear(self.now, answered)
 
     def _compare(self):
         """Let nodes exchange the partitions that differ, each now and then."""
--- a/hillfield/crashes/tests/test_fleet.py
+++ b/hillfield/crashes/tests/test_fleet.py
@@ -130,3 +130,46 @@
     fleet.restart_nodes(fleet.hosts[::2])
     fleet.play(10, load)
     assert not count_harmless(fleet.refused)
+
+
+@mark.parametrize('seed', SEEDS)
+@mark.parametrize('bearing, gap', [(1, 0.1), (1, 0.5), (5, 0.5)])
+def test_targets_that_bear_a_request_do_not_speak_for_others(
+    seed,
+    bearing,
+    gap,
+):
+    # Guards against one good answer that undoes the evidence of the fleet.
+    fleet = Fleet(seed=seed)
+    for host in fleet.hosts[:bearing]:
+        host.bears = True
+    load = Load()
+    due = [101.0]
+
+    def act(played):
+        load(played)
+        if played.now >= due[0]:
+            due[0] += gap
+            played.ask(HARMFUL, deadly=True)
+
+    fleet.play(40, act)
+    assert fleet.late_exits[HARMFUL] <= 3
+    assert not count_harmless(fleet.refused)
+
+
+@mark.parametrize('seed', SEEDS)
+def test_three_losses_of_power_refuse_no_request_of_any_caller(seed):
+    # Guards against rarer answers behind each of many callers' requests.
+    fleet = Fleet(seed=seed)
+    callers = [b'caller-%d' % number for number in range(12)]
+
+    def load(played):
+        for _ in range(int(RATE + played.random.random())):
+            played.ask(played.random.choice(callers))
+
+    fleet.play(3, load)
+    for _ in range(3):
+        failed = [host for host in fleet.hosts if host.domain == 0]
+        fleet.exit_targets(failed, 4)
+        fleet.play(6, load)
+    assert not count_harmless(fleet.refused)
--- a/hillfield/node/crashes.py
+++ b/hillfield/node/crashes.py
@@ -6,6 +6,7 @@
 
 from hillfield.clocks import monotonic
 from hillfield.crashes import (
+    AnswerRow,
     ClearRow,
     CrashRegistry,
     ExitRow,
@@ -17,7 +18,11 @@
     describe_refusal,
 )
 from hillfield.crashes.cases import Case
-from hillfield.crashes.registry import MAXIMUM_CASES
+from hillfield.crashes.registry import (
+    MAXIMUM_CASES,
+    is_outweighed,
+    list_answered,
+)
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.core import Core
 from hillfield.fleet.recipients import list_others
@@ -29,8 +34,10 @@
 # Rank of a node that has not joined the fleet: it neither lets a trial run
 # nor writes to the store.
 UNRANKED: Final = maxsize
-SERVED: Final = 'answered by a target that kept running'
-SERVED_BEFORE: Final = 'answered a short while ago'
+SERVED: Final = 'answered as often as targets exited, at last'
+SERVED_BEFORE: Final = 'answered as often a short while ago'
+SERVED_ELSEWHERE: Final = 'answered as often, at other nodes too'
+MILLISECONDS: Final = 1000
 
 FindingsListener = Callable[[Findings], None]
 
@@ -82,9 +89,13 @@
     def record_answered(self, arrival: Arrival) -> None:
         """Record that this host's target answered a request and kept running."""
         fingerprint = arrival.fingerprint
-        self._served.record(monotonic(), fingerprint)
+        now = monotonic()
+        self._served.record(now, fingerprint)
         case = self.registry.cases.get(fingerprint)
-        if case is not None and case.exits:
+        if case is None or not case.exits:
+            return
+        self._report_answers(now, fingerprint, (now,))
+        if is_outweighed(self.registry, fingerprint):
             self.clear(fingerprint, f'{SERVED}: {_describe(arrival)}')
 
     def clear(self, fingerprint: bytes, reason: str) -> bool:
@@ -103,8 +114,15 @@
             seen = ' '.join(f'{gate}/{number}' for gate, number in case.exits)
             detail = f'{fingerprint.hex()} by exits at {seen}'
             self._record(EventCode.CRASHING_REQUEST_FOUND, detail)
-            if self._served.was_answered(now, fingerprint):
+            moments = self._served.list_answers(now, fingerprint)
+            self._report_answers(now, fingerprint, moments)
+            if is_outweighed(self.registry, fingerprint):
                 self.clear(fingerprint, SERVED_BEFORE)
+        for answered in list_answered(received):
+            if is_outweighed(self.registry, answered):
+                self.registry.clear(now, answered)
+                detail = f'{answered.hex()} {SERVED_ELSEWHERE}'
+                self._record(EventCode.CRASHING_REQUEST_CLEARED, detail)
 
     def get_rank(self, fingerprint: bytes) -> int:
         """Return this node's rank among all for a request (rendezvous).
@@ -139,6 +157,24 @@
         here = core.own.record.locality.failure_domain
         return other.locality.failure_domain == here
 
+    def _report_answers(
+        self,
+        now: float,
+        fingerprint: bytes,
+        moments: tuple[float, ...],
+    ) -> None:
+        """Add answers of this host's target, and report them to all nodes."""
+        core = self._core
+        if core is None or not moments:
+            return
+        gate = core.own.record.name
+        rows = tuple(
+            AnswerRow(fingerprint, gate, _number(moment), now - moment)
+            for moment in moments
+        )
+        self.registry.merge(now, Findings(answers=rows))
+        self.on_findings(Findings(answers=rows))
+
     def _record(self, code: EventCode, detail: str) -> None:
         self._journal.record(Occurrence(code, detail=detail))
 
@@ -193,6 +229,11 @@
         return case.claim_trial(now)
 
 
+def _number(moment: float) -> int:
+    """Return the number of an answer: its monotonic milliseconds."""
+    return int(moment * MILLISECONDS)
+
+
 def _describe(arrival: Arrival) -> str:
     """Return which request was answered, and where it began."""
     plan = arrival.plan
--- a/hillfield/node/crashstore.py
+++ b/hillfield/node/crashstore.py
@@ -10,6 +10,7 @@
 from hillfield.clocks import monotonic, read_wall
 from hillfield.crashes import ExitRow, Findings, StoredExits
 from hillfield.crashes.cases import Case
+from hillfield.crashes.rows import list_exits
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.node.crashes import CrashTracker
 from hillfield.store.paging import Span, read_span
@@ -95,7 +96,7 @@
         name = case.fingerprint.hex()
         key = f'{self._prefix}{name}'
         if harmful:
-            kept = StoredExits(read_wall(), case.list_exits(monotonic()))
+            kept = StoredExits(read_wall(), list_exits(monotonic(), case))
             done = await self._change(Change(key, 0, encode(kept)))
         else:
             done = await self._delete(key)
--- a/hillfield/node/departureexchange.py
+++ b/hillfield/node/departureexchange.py
@@ -91,10 +91,10 @@
         if core is None:
             return
         now = monotonic()
-        joined = core.state_table.alive - self._told
-        self._told = core.state_table.alive
-        if joined:
-            self._send_notice(core, now, joined)
+        alive = core.state_table.alive
+        if alive is not self._told:
+            self._send_notice(core, now, alive - self._told)
+            self._told = alive
         if self._storage.tracker.held.is_holding(now):
             self._ask(core, now)
 
