Let the answer to a trial clear a crashing request by itself

What callers would see: a request that was refused for an hour, and that a new release of its targets bears, stays refused.

Cause: since answers are weighed against exits, the one run that is let through after an hour brings one answer against three exits or more.

Change: an answer that comes as long after the last exit as a trial does outweighs all exits. The test failed before.

--- a/hillfield/crashes/proof.py
+++ b/hillfield/crashes/proof.py
@@ -71,11 +71,14 @@
     `answers` are moments at which targets answered it and kept running. One of
     them speaks for the target that gave it: a newer release, or one that had
     the answer at hand. Of a request that most targets bear, recent answers are
-    at least as many as the exits that it was only beside.
+    at least as many as the exits that it was only beside. The answer to a
+    trial shows it alone: otherwise a repaired target would never get it again.
 
     >>> first, second = SeenExit(0, 1), SeenExit(2, 3)
     >>> is_outweighed([first, second], [2.5]), is_outweighed([first], [2.5])
     (False, True)
+    >>> is_outweighed([first, second], [3 + REFUSAL_SECONDS])
+    True
     >>> is_outweighed([], [2.5])
     False
     """
@@ -83,8 +86,10 @@
         return False
     last_exit = max(seen_exit.ended for seen_exit in exits)
     since = last_exit - ANSWER_MEMORY_SECONDS
-    recent = sum(answered >= since for answered in answers)
-    return recent >= count_in_sequence(exits) * ANSWERS_PER_EXIT
+    recent = [answered for answered in answers if answered >= since]
+    if any(_is_trial(last_exit, answered) for answered in recent):
+        return True
+    return len(recent) >= count_in_sequence(exits) * ANSWERS_PER_EXIT
 
 
 def count_in_sequence(exits: Iterable[SeenExit]) -> int:
--- a/hillfield/crashes/tests/test_registry.py
+++ b/hillfield/crashes/tests/test_registry.py
@@ -5,9 +5,19 @@
 from pytest import approx
 
 from hillfield.crashes.cases import MAXIMUM_EXITS
-from hillfield.crashes.messages import ClearRow, ExitRow, Findings
+from hillfield.crashes.messages import (
+    AnswerRow,
+    ClearRow,
+    ExitRow,
+    Findings,
+)
 from hillfield.crashes.proof import REFUSAL_SECONDS
-from hillfield.crashes.registry import MAXIMUM_CASES, CrashRegistry, split_rows
+from hillfield.crashes.registry import (
+    MAXIMUM_CASES,
+    CrashRegistry,
+    is_outweighed,
+    split_rows,
+)
 from hillfield.crashes.tests.fleet import find_differing
 
 NOW = 1000.0
@@ -135,3 +145,23 @@
     add_proof(registry)
     findings = registry.export(NOW + 7, range(16))
     assert max(row.ago for row in findings.exits) == approx(10)
+
+
+def test_the_answer_to_a_trial_clears_a_request():
+    # Guards against a request that is refused for good after its repair.
+    registry = CrashRegistry()
+    add_proof(registry)
+    later = NOW + REFUSAL_SECONDS
+    answer = AnswerRow(b'x', 'n9', 1, 0)
+    registry.merge(later, Findings(answers=(answer,)))
+    assert is_outweighed(registry, b'x')
+
+
+def test_one_answer_clears_no_request_that_has_just_been_proven():
+    # Guards against one target that speaks for all others.
+    registry = CrashRegistry()
+    add_proof(registry)
+    answer = AnswerRow(b'x', 'n9', 1, 0)
+    registry.merge(NOW + 1, Findings(answers=(answer,)))
+    assert not is_outweighed(registry, b'x')
+    assert registry.is_refused(NOW + 1, b'x')
