--- a/hillfield/crashes/tests/test_fleet.py
+++ b/hillfield/crashes/tests/test_fleet.py
@@ -30,6 +30,21 @@
             fleet.ask(name)
 
 
+class HarmfulLoad(Load):
+    """Send a harmful request each `gap` seconds beside the harmless ones."""
+
+    def __init__(self, gap):
+        super().__init__()
+        self.gap = gap
+        self.due = 101.0
+
+    def __call__(self, fleet):
+        super().__call__(fleet)
+        if fleet.now >= self.due:
+            self.due += self.gap
+            fleet.ask(HARMFUL, deadly=True)
+
+
 def count_harmless(tally):
     return sum(times for name, times in tally.items() if name != HARMFUL)
 
@@ -38,16 +53,7 @@
 @mark.parametrize('gap', [0.1, 0.7, 3.1])
 def test_a_harmful_request_is_refused_and_those_beside_it_are_not(seed, gap):
     fleet = Fleet(seed=seed)
-    load = Load()
-    due = [101.0]
-
-    def act(played):
-        load(played)
-        if played.now >= due[0]:
-            due[0] += gap
-            played.ask(HARMFUL, deadly=True)
-
-    fleet.play(30, act)
+    fleet.play(30, HarmfulLoad(gap))
     assert fleet.late_exits[HARMFUL] == 0
     assert fleet.crashes[HARMFUL] <= 6
     assert not count_harmless(fleet.refused)
@@ -143,16 +149,7 @@
     fleet = Fleet(seed=seed)
     for host in fleet.hosts[:bearing]:
         host.bears = True
-    load = Load()
-    due = [101.0]
-
-    def act(played):
-        load(played)
-        if played.now >= due[0]:
-            due[0] += gap
-            played.ask(HARMFUL, deadly=True)
-
-    fleet.play(40, act)
+    fleet.play(40, HarmfulLoad(gap))
     assert fleet.late_exits[HARMFUL] <= 3
     assert not count_harmless(fleet.refused)
 
--- a/hillfield/platform/tests/test_departures.py
+++ b/hillfield/platform/tests/test_departures.py
@@ -33,10 +33,10 @@
         self.born = 1000
 
 
-async def kill_all(site):
-    """Kill all nodes at one moment and start them again."""
-    await kill(site.hosts)
-    await asyncio.gather(*map(site.start_node, site.hosts))
+async def restart(site, hosts):
+    """Kill nodes at one moment and start them again."""
+    await kill(hosts)
+    await asyncio.gather(*map(site.start_node, hosts))
 
 
 async def serves(host):
@@ -75,7 +75,7 @@
     async def story(site):
         leaving = site.hosts[0]
         assert await leaving.target.leave(leaving.control) == 200
-        await kill_all(site)
+        await restart(site, site.hosts)
         assert not await find_late_runs(site, leaving)
 
     play_site(tmp_path, story, TWO)
@@ -87,7 +87,7 @@
         leaving = site.hosts[0]
         control = leaving.control
         assert await leaving.target.announce(control, 'draining', 9000) == 200
-        await kill_all(site)
+        await restart(site, site.hosts)
         assert not await find_late_runs(site, leaving)
 
     play_site(tmp_path, story, TWO)
@@ -124,8 +124,7 @@
     async def story(site):
         host = site.hosts[0]
         site.store.down = True
-        await kill([host])
-        await site.start_node(host)
+        await restart(site, [host])
         await site.settle(partial(serves, host), HELD)
 
     play_site(tmp_path, story, TWO)
@@ -137,7 +136,7 @@
         leaving = site.hosts[0]
         assert await leaving.target.leave(leaving.control) == 200
         site.store.down = True
-        await kill_all(site)
+        await restart(site, site.hosts)
         await stays_unserved(leaving)
         site.store.down = False
         await stays_unserved(leaving)
@@ -151,7 +150,7 @@
     async def story(site):
         host = site.hosts[0]
         site.store.down = True
-        await kill_all(site)
+        await restart(site, site.hosts)
         await asyncio.sleep(HELD)
         site.store.down = False
         await site.settle(partial(serves, host), BACK)
@@ -177,9 +176,7 @@
         leaving = site.hosts[0]
         assert await leaving.target.leave(leaving.control) == 200
         turn_away(site, [leaving], mode)
-        killed = choose_dying(site, dying)
-        await kill(killed)
-        await asyncio.gather(*map(site.start_node, killed))
+        await restart(site, choose_dying(site, dying))
         await stays_unserved(leaving)
         assert not await find_late_runs(site, leaving)
 
@@ -193,9 +190,7 @@
         leaving = site.hosts[0]
         assert await leaving.target.leave(leaving.control) == 200
         site.store.down = True
-        killed = choose_dying(site, dying)
-        await kill(killed)
-        await asyncio.gather(*map(site.start_node, killed))
+        await restart(site, choose_dying(site, dying))
         await stays_unserved(leaving)
         assert not await find_late_runs(site, leaving)
 
@@ -213,9 +208,7 @@
     async def story(site):
         host = site.hosts[0]
         turn_away(site, [host], mode)
-        killed = choose_dying(site, dying)
-        await kill(killed)
-        await asyncio.gather(*map(site.start_node, killed))
+        await restart(site, choose_dying(site, dying))
         await site.settle(partial(serves, host), SERVED_WITHIN)
 
     play_site(tmp_path, story, FOUR)
@@ -228,8 +221,7 @@
         assert await host.target.leave(host.control) == 200
         turn_away(site, [host], 'silent')
         host.target.born += 1
-        await kill([host])
-        await site.start_node(host)
+        await restart(site, [host])
         await site.settle(partial(serves, host), SERVED_WITHIN)
 
     play_site(tmp_path, story, FOUR, BornTarget)
