Keep the stand-in store's port apart from those of the tests' hosts

Cause: since hosts call the store at addresses of their own, its port may be one that a host listens on.

--- a/hillfield/platform/tests/installation.py
+++ b/hillfield/platform/tests/installation.py
@@ -20,6 +20,8 @@
 
 HOST = 'till.example'
 PATIENCE = 15
+# Ports of a host, from the first one on.
+PORTS = 8
 # Seconds within which a change is promised to be in force.
 PROMISED = 2
 LIMITS = MappingProxyType(
@@ -104,7 +106,6 @@
     def __init__(self, folder, make_target=StandInTarget):
         self.folder = folder
         self._make_target = make_target
-        self.store_address = find_free(make_ip(0))
         self.store: Any = None
         self.hosts: list[Any] = []
         self.client = AsyncHTTPClient()
@@ -112,6 +113,7 @@
         self._beating: list[Any] = []
         base = find_free(make_ip(1)).port
         self._base = min(base, 60000)
+        self.store_address = find_store_address(self._base)
 
     async def start(self, services, rules=RULES):
         """Start a host a service; zones are dealt out over a and b."""
@@ -263,6 +265,14 @@
         )
 
 
+def find_store_address(base):
+    """Return an address for the store, whose port no host uses."""
+    address = find_free(make_ip(0))
+    while address.port in range(base, base + PORTS):
+        address = find_free(make_ip(0))
+    return address
+
+
 def _find_name(host):
     return host.name
 
