Import no more modules at a start than before

Departures' messages, memory and inquiry are one module of the announcements; held heartbeats stand beside the incarnations, carried ids beside the streams, the memory of departures beside their exchange, answers beside runs, rows beside the registry; and the settings' package no longer imports its reader, which a node on the platform doesn't use. A reader of addresses and one of memory are shorter.

--- a/hillfield/departures/tests/test_inquiry.py
+++ b/hillfield/announcements/tests/test_departures.py
@@ -4,19 +4,18 @@
 
 from pytest import fixture, mark
 
-from hillfield.departures import (
+from hillfield.announcements.departures import (
+    DEPARTURE_SECONDS,
+    FIRST_QUESTION_AFTER,
+    LONGEST_INTERVAL,
+    MAXIMUM_DEPARTURES,
+    MEMORY_QUESTIONS,
     Departure,
     DepartureAnswer,
     DepartureInquiry,
     DepartureMemory,
     Voucher,
 )
-from hillfield.departures.inquiry import (
-    FIRST_QUESTION_AFTER,
-    LONGEST_INTERVAL,
-    MEMORY_QUESTIONS,
-)
-from hillfield.departures.memory import DEPARTURE_SECONDS, MAXIMUM_DEPARTURES
 
 HERE = 'hall-a'
 THERE = 'hall-b'
--- a/hillfield/cli/node.py
+++ b/hillfield/cli/node.py
@@ -7,7 +7,7 @@
 
 from hillfield.cli.exits import ExitCode, leave
 from hillfield.node.direct import run_node
-from hillfield.settings import read_settings
+from hillfield.settings.reader import read_settings
 
 
 def start_node(
--- a/hillfield/cli/settings.py
+++ b/hillfield/cli/settings.py
@@ -10,7 +10,8 @@
 
 from hillfield.cli.exits import ExitCode
 from hillfield.cli.options import Json
-from hillfield.settings import SettingsProblem, read_settings
+from hillfield.settings import SettingsProblem
+from hillfield.settings.reader import read_settings
 
 commands = Typer(
     no_args_is_help=True, add_completion=False, help="Check a node's settings."
--- a/hillfield/crashes/__init__.py
+++ b/hillfield/crashes/__init__.py
@@ -19,8 +19,12 @@
 )
 from hillfield.crashes.refusing import describe_refusal
 from hillfield.crashes.registry import CrashRegistry, split_rows
-from hillfield.crashes.runs import LostRuns, Run, TargetExit
-from hillfield.crashes.served import ServedRequests
+from hillfield.crashes.runs import (
+    LostRuns,
+    Run,
+    ServedRequests,
+    TargetExit,
+)
 
 __all__ = (
     'AnswerRow',
--- a/hillfield/crashes/registry.py
+++ b/hillfield/crashes/registry.py
@@ -5,17 +5,16 @@
 in any order, any number of times.
 """
 
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Collection, Container, Iterable, Iterator
 from typing import Final
 
-from hillfield.crashes.cases import Case
+from hillfield.crashes.cases import NEVER, Case
 from hillfield.crashes.messages import (
     AnswerRow,
     ClearRow,
     ExitRow,
     Findings,
 )
-from hillfield.crashes.rows import list_findings
 
 # Requests tracked at once, some 670 bytes each. The exit of a target with four
 # slots adds four of them, of which three are harmless.
@@ -191,3 +190,37 @@
 
 def _rank(case: Case) -> tuple[bool, int, float]:
     return case.harmful, len(case.exits), case.last_event
+
+
+def list_exits(now: float, case: Case) -> tuple[ExitRow, ...]:
+    """Return the exits during a request."""
+    return tuple(
+        ExitRow(
+            case.fingerprint,
+            gate,
+            number,
+            now - seen_exit.ended,
+            seen_exit.ended - seen_exit.began,
+        )
+        for (gate, number), seen_exit in case.exits.items()
+    )
+
+
+def list_findings(now: float, cases: Collection[Case]) -> Findings:
+    """Return all that is known of some requests."""
+    return Findings(
+        tuple(row for case in cases for row in list_exits(now, case)),
+        tuple(
+            ClearRow(case.fingerprint, now - case.cleared_at)
+            for case in cases
+            if case.cleared_at > NEVER
+        ),
+        tuple(row for case in cases for row in _list_answers(now, case)),
+    )
+
+
+def _list_answers(now: float, case: Case) -> tuple[AnswerRow, ...]:
+    return tuple(
+        AnswerRow(case.fingerprint, gate, number, now - answered)
+        for (gate, number), answered in case.answers.items()
+    )
--- a/hillfield/crashes/runs.py
+++ b/hillfield/crashes/runs.py
@@ -1,10 +1,11 @@
-"""Remember which requests a target was running when it exited; pure."""
+"""Remember which requests a target answered, or ran when it exited; pure."""
 
-from collections import deque
+from collections import OrderedDict, deque
 from typing import Final
 
 from msgspec import Struct
 
+from hillfield.crashes.proof import ANSWER_MEMORY_SECONDS
 from hillfield.model import TargetId
 
 # Seconds before the last broken connection within which others count as lost
@@ -15,6 +16,11 @@
 SAME_EXIT_SECONDS: Final = 1.0
 # Unanswered runs kept of one target: more than it has slots.
 MAXIMUM_RUNS: Final = 64
+# Requests remembered, the latest ones: what a target of four slots answers in
+# this time, at 20 milliseconds each.
+MAXIMUM_REQUESTS: Final = 1024
+# Answers remembered of one request: as many as exits are kept of it.
+MAXIMUM_ANSWERS: Final = 16
 
 
 class Run(Struct, frozen=True):
@@ -90,3 +96,37 @@
         since = max(run.ended for run in lost) - EXIT_WINDOW_SECONDS
         runs = tuple(run for run in lost if run.ended >= since)
         return TargetExit(target, self._number, runs)
+
+
+class ServedRequests:
+    """Keep the fingerprints of requests that were answered well.
+
+    >>> served = ServedRequests()
+    >>> served.record(10.0, b'x')
+    >>> served.list_answers(14.0, b'x'), served.list_answers(16.0, b'x')
+    ((10.0,), ())
+    """
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self._moments: OrderedDict[bytes, deque[float]] = OrderedDict()
+
+    def record(self, now: float, fingerprint: bytes) -> None:
+        """Record a good answer; `now` is in monotonic seconds."""
+        moments = self._moments.get(fingerprint)
+        if moments is None:
+            moments = deque(maxlen=MAXIMUM_ANSWERS)
+            self._moments[fingerprint] = moments
+        moments.append(now)
+        self._moments.move_to_end(fingerprint)
+        if len(self._moments) > MAXIMUM_REQUESTS:
+            self._moments.popitem(last=False)
+
+    def list_answers(self, now: float, fingerprint: bytes) -> tuple[float, ...]:
+        """Return the moments at which a request was answered recently."""
+        moments = self._moments.get(fingerprint, ())
+        return tuple(
+            moment
+            for moment in moments
+            if now - moment <= ANSWER_MEMORY_SECONDS
+        )
--- a/hillfield/experiments/overload/baseline.py
+++ b/hillfield/experiments/overload/baseline.py
@@ -15,7 +15,7 @@
 from hillfield.node.direct import serve
 from hillfield.routing import DispatcherTable
 from hillfield.routing.baseline import BaselineDispatcher
-from hillfield.settings import read_settings
+from hillfield.settings.reader import read_settings
 
 
 def run(path: Path) -> None:
--- a/hillfield/experiments/repair/switchable.py
+++ b/hillfield/experiments/repair/switchable.py
@@ -14,7 +14,8 @@
 from hillfield.link import LinkFaults
 from hillfield.model import Address, parse_address
 from hillfield.node.direct import DirectNode
-from hillfield.settings import NodeSettings, read_settings
+from hillfield.settings import NodeSettings
+from hillfield.settings.reader import read_settings
 
 
 def run(arguments: list[str]) -> None:
--- a/hillfield/experiments/sizing/timelines.py
+++ b/hillfield/experiments/sizing/timelines.py
@@ -8,7 +8,8 @@
 from hillfield.events import EventCode, Occurrence, Timeline, TimelineEntry
 from hillfield.experiments.sizing.rigs import place_nodes
 from hillfield.experiments.sizing.windows import MEGABYTE
-from hillfield.settings import NodeSettings, parse_settings
+from hillfield.settings import NodeSettings
+from hillfield.settings.reader import parse_settings
 
 EXAMPLE: Final = '/hillfield/north/accounts/0'
 
--- a/hillfield/gate/tests/test_incarnations.py
+++ b/hillfield/gate/tests/test_incarnations.py
@@ -4,7 +4,7 @@
 from pytest import fixture
 
 from hillfield.announcements import Announcement, TargetRegistry
-from hillfield.departures import DEPARTURE_SECONDS
+from hillfield.announcements.departures import DEPARTURE_SECONDS
 from hillfield.events import ListJournal
 from hillfield.gate import Gate
 from hillfield.gate.health import AttemptResult
--- a/hillfield/node/crashstore.py
+++ b/hillfield/node/crashstore.py
@@ -10,7 +10,7 @@
 from hillfield.clocks import monotonic, read_wall
 from hillfield.crashes import ExitRow, Findings, StoredExits
 from hillfield.crashes.cases import Case
-from hillfield.crashes.rows import list_exits
+from hillfield.crashes.registry import list_exits
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.node.crashes import CrashTracker
 from hillfield.store.paging import Span, read_span
--- a/hillfield/node/departures.py
+++ b/hillfield/node/departures.py
@@ -9,7 +9,7 @@
 from msgspec.msgpack import decode, encode
 
 from hillfield.clocks import monotonic
-from hillfield.departures import DEPARTURE_SECONDS, Departure
+from hillfield.announcements.departures import DEPARTURE_SECONDS, Departure
 from hillfield.events import EventCode, Journal, Occurrence
 from hillfield.fleet.core import Core
 from hillfield.gate import IncarnationTracker
--- a/hillfield/node/tests/test_node.py
+++ b/hillfield/node/tests/test_node.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from hillfield.node.direct import DirectNode
-from hillfield.settings import parse_settings
+from hillfield.settings.reader import parse_settings
 
 SETTINGS = """
 name = 'node-1'
--- a/hillfield/node/tests/test_repair.py
+++ b/hillfield/node/tests/test_repair.py
@@ -41,7 +41,7 @@
 from hillfield.events import ListJournal
 from hillfield.model import TargetState
 from hillfield.node.direct import DirectNode
-from hillfield.settings import parse_settings
+from hillfield.settings.reader import parse_settings
 from hillfield.store.opening import open_store
 from hillfield.store.store_settings import StoreSettings
 
--- a/hillfield/platform/boot.py
+++ b/hillfield/platform/boot.py
@@ -157,9 +157,8 @@
 
 
 def _read_memory(limits: Limits) -> int | None:
-    if limits.memory_mb is None:
-        return None
-    return int(limits.memory_mb * BYTES_OF_A_MEGABYTE)
+    megabytes = limits.memory_mb
+    return None if megabytes is None else int(megabytes * BYTES_OF_A_MEGABYTE)
 
 
 def _make_settings(wire: BootFile) -> NodeSettings:
@@ -184,8 +183,7 @@
 
 
 def _read_address(name: str, text: str) -> Address:
-    match parse_address(text):
-        case Result(tag='ok', ok=address):
-            return address
-        case Result(error=problem):
-            raise ValueError(f'{name}: {problem}')
+    address = parse_address(text)
+    if address.is_error():
+        raise ValueError(f'{name}: {address.error}')
+    return address.ok
--- a/hillfield/settings/__init__.py
+++ b/hillfield/settings/__init__.py
@@ -2,7 +2,6 @@
 
 from hillfield.settings.node import NodeSettings
 from hillfield.settings.problems import SettingsProblem
-from hillfield.settings.reader import parse_settings, read_settings
 from hillfield.settings.sections import (
     AnnouncementSettings,
     LimitSettings,
@@ -23,6 +22,4 @@
     'NodeSettings',
     'SettingsProblem',
     'TimelineSettings',
-    'parse_settings',
-    'read_settings',
 )
--- a/hillfield/settings/tests/test_any_input.py
+++ b/hillfield/settings/tests/test_any_input.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hillfield.settings import parse_settings
+from hillfield.settings.reader import parse_settings
 
 HERE = Path('/no/such/folder')
 NAMES = st.sampled_from(
--- a/hillfield/settings/tests/test_page.py
+++ b/hillfield/settings/tests/test_page.py
@@ -7,7 +7,8 @@
 from msgspec import Struct
 from msgspec.structs import fields
 
-from hillfield.settings import NodeSettings, parse_settings
+from hillfield.settings import NodeSettings
+from hillfield.settings.reader import parse_settings
 
 PAGE = Path(__file__).parents[3] / 'docs' / 'operators' / 'settings.md'
 
--- a/hillfield/settings/tests/test_reader.py
+++ b/hillfield/settings/tests/test_reader.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hillfield.model import Address
-from hillfield.settings import parse_settings, read_settings
+from hillfield.settings.reader import parse_settings, read_settings
 
 GOOD = """
 name = 'n1'
--- a/scenarios/hosting.py
+++ b/scenarios/hosting.py
@@ -11,7 +11,7 @@
 from hillfield.experiments.repair.signalled import Signalled
 from hillfield.node.direct import DirectNode
 from hillfield.node.node import Node
-from hillfield.settings import parse_settings
+from hillfield.settings.reader import parse_settings
 
 END_SECONDS = 40
 
