Wrap two doc comments of this change to the width of the others

Layout only: the docstrings of a case and of the adapter's parts, and a blank line between constants.

--- a/hillfield/crashes/cases.py
+++ b/hillfield/crashes/cases.py
@@ -29,9 +29,11 @@
     """Hold the exits during a request; times are monotonic seconds.
 
     `exits` are keyed by the node that saw each and its number there; `harmful`
-    says that they are sufficient evidence, since the exit at `proven_at`; `answers` are when targets answered
-    it and kept running, keyed alike; exits until `cleared_at` are no evidence; `last_trial` is when this node last let the request run as a
-    trial; `stored` says that the store is known to reflect `harmful`.
+    says that they are sufficient evidence, since the exit at `proven_at`;
+    `answers` are when targets answered it and kept running, keyed alike; exits
+    until `cleared_at` are no evidence; `last_trial` is when this node last let
+    the request run as a trial; `stored` says that the store is known to reflect
+    `harmful`.
     """
 
     fingerprint: bytes
--- a/hillfield/node/adapterparts.py
+++ b/hillfield/node/adapterparts.py
@@ -40,9 +40,9 @@
     wrong answers of the target. `repeats` bounds the repeats of each service over
     all nodes. `reports`, `quotas`, `crashes` and `departures` are the
     addresses for datagrams with load reports, usage of accounts, findings on
-    crashing requests and departures of targets (the same ports on all hosts). `stop` is the schedule
-    that the limits of the two servers follow. `relay` sets how the
-    store is watched, `make_listeners` builds further listeners.
+    crashing requests and departures of targets (the same ports on all hosts).
+    `stop` is the schedule that the limits of the two servers follow. `relay`
+    sets how the store is watched, `make_listeners` builds further listeners.
     """
 
     planner: HostPlanner
--- a/hillfield/node/departureexchange.py
+++ b/hillfield/node/departureexchange.py
@@ -34,7 +34,6 @@
 CHECK_INTERVAL: Final = 0.1
 # Nodes asked in one round: one in each failure domain, and at least so many.
 ASKED_NODES: Final = 4
-
 # Departures in one datagram, the latest ones: a host has few targets.
 DEPARTURES_PER_DATAGRAM: Final = 24
 # Hosts for which this node reads the store at a time.
